--- /dev/null
+++ b/include/cuminmoor/command.h
@@ -0,0 +1,66 @@
+/// \file
+/// Commands of operators and job owners, and their answers.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "cuminmoor/configuration.h"
+#include "cuminmoor/ids.h"
+#include "cuminmoor/job.h"
+#include "cuminmoor/result.h"
+
+namespace cuminmoor {
+
+/// Change the configuration; with `expected`, only from that version.
+struct change_configuration {
+    configuration_change change;
+    std::optional<config_version> expected;
+};
+struct show_configuration {};
+struct submit_job {
+    job_spec spec;
+    /// Where to run it; empty: this failure domain, or one in service.
+    failure_domain_id failure_domain;
+    std::int64_t submitted_at_s{0};
+};
+struct cancel_jobs {
+    std::vector<job_id> jobs;
+};
+struct show_job {
+    job_id job;
+};
+/// Jobs with this prefix, at most `limit`, after `after`.
+struct list_jobs {
+    std::string prefix;
+    std::string after;
+    std::size_t limit{100};
+};
+struct show_status {};
+struct list_vms {};
+/// What the store holds of a caller's non-idempotent requests, or of a team's jobs.
+struct show_audit {
+    caller_id caller;
+    team_id team;
+};
+
+using command = std::variant<change_configuration, show_configuration, submit_job, cancel_jobs,
+                             show_job, list_jobs, show_status, list_vms, show_audit>;
+
+/// Event: a command has been read and checked.
+struct command_arrived {
+    traffic_handle handle;
+    command body;
+};
+
+/// Effect: answer a command. `json` is the whole body.
+struct command_answer {
+    traffic_handle handle;
+    result_code code{result_code::ok};
+    std::string message;
+    std::string json;
+};
+
+} // namespace cuminmoor
--- /dev/null
+++ b/include/cuminmoor/config.h
@@ -0,0 +1,52 @@
+/// \file
+/// Compile-time limits and periods, each with its unit in its type or name.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "cuminmoor/clock.h"
+
+namespace cuminmoor::config {
+
+// Control loop.
+inline constexpr millis tick_period{50};
+
+// Configuration and membership.
+inline constexpr millis configuration_poll{1'000};
+inline constexpr millis heartbeat_period{500};
+inline constexpr millis peer_timeout{2'500};
+inline constexpr millis vm_list_poll{1'000};
+inline constexpr std::uint64_t changes_per_snapshot{32};
+
+// Scheduler lease of a failure domain.
+inline constexpr millis lease_length{3'000};
+inline constexpr millis lease_renewal{1'000};
+/// Covers clock drift: the holder stops this long before its lease ends.
+inline constexpr millis lease_margin{500};
+
+// Scheduling.
+inline constexpr millis commit_period{100};
+inline constexpr millis worker_sync_period{1'000};
+/// How long after its commit a start may still reach the worker.
+inline constexpr millis start_validity{1'000};
+/// Lease of running tasks on a worker; outlives a long outage of the store.
+inline constexpr millis task_lease{600'000};
+inline constexpr millis inbox_poll{500};
+inline constexpr std::size_t max_records_per_commit{256};
+inline constexpr std::uint64_t commits_per_checkpoint{64};
+
+// Requests.
+inline constexpr std::int64_t slots_per_runner{8};
+inline constexpr std::int64_t connections_per_runner{64};
+inline constexpr std::size_t max_queued_requests{512};
+inline constexpr std::size_t max_body_bytes{std::size_t{1} << 20U};
+inline constexpr millis default_request_deadline{10'000};
+inline constexpr millis max_request_deadline{120'000};
+
+// Store.
+inline constexpr millis store_timeout{1'500};
+inline constexpr millis store_retry_base{100};
+inline constexpr millis store_retry_cap{2'000};
+
+} // namespace cuminmoor::config
--- /dev/null
+++ b/include/cuminmoor/event.h
@@ -0,0 +1,25 @@
+/// \file
+/// Everything that can happen to the core.
+#pragma once
+
+#include <variant>
+
+#include "cuminmoor/command.h"
+#include "cuminmoor/membership.h"
+#include "cuminmoor/request.h"
+#include "cuminmoor/store.h"
+#include "cuminmoor/worker.h"
+
+namespace cuminmoor {
+
+/// Event: `config::tick_period` has passed.
+struct tick {};
+
+/// Event: the process was asked to stop; it drains and hands over its lease.
+struct shutdown_requested {};
+
+using event = std::variant<tick, shutdown_requested, store_committed, store_read_done, object_done,
+                           vm_list_done, peer_received, worker_synced, request_arrived,
+                           request_abandoned, dispatch_ended, command_arrived>;
+
+} // namespace cuminmoor
--- /dev/null
+++ b/include/cuminmoor/job.h
@@ -0,0 +1,161 @@
+/// \file
+/// Batch jobs and the durable ledger of one failure domain.
+///
+/// The ledger is the fold of the records in the failure domain's log. A record is applied only
+/// after the transaction that holds it is known to be committed, so every decision is made on
+/// committed state.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "cuminmoor/clock.h"
+#include "cuminmoor/ids.h"
+#include "cuminmoor/units.h"
+
+namespace cuminmoor {
+
+enum class work_class : std::uint8_t { batch, latency_critical };
+
+/// A job as its owner declares it.
+struct job_spec {
+    job_id id;
+    team_id team;
+    caller_id owner;
+    work_class kind{work_class::batch};
+    std::uint32_t tasks{1};
+    /// Declared size of each task.
+    resources task_size;
+    /// Declared run time of each task.
+    millis run_time;
+    /// Time from submission to deadline; 0: none.
+    millis deadline;
+    /// Group of like jobs, for learned corrections; empty: the team's name.
+    std::string job_class;
+    /// What to run, opaque to the scheduler.
+    std::string command;
+};
+
+/// Where an attempt runs, or may run.
+struct assignment {
+    vm_id worker;
+    std::string incarnation;
+    std::uint32_t attempt{0};
+    bool stopping{false};
+};
+
+enum class task_phase : std::uint8_t { waiting, assigned, finished, failed, cancelled, moved };
+
+/// One task in the ledger.
+struct task_entry {
+    task_phase phase{task_phase::waiting};
+    /// Attempts begun so far; the next assignment gets `attempts + 1`.
+    std::uint32_t attempts{0};
+    std::uint32_t failures{0};
+    std::uint32_t evictions{0};
+    std::string checkpoint;
+    /// Set exactly while `phase` is assigned.
+    std::optional<assignment> where;
+};
+
+struct job_entry {
+    job_spec spec;
+    bool cancelled{false};
+    /// Only the tasks that are this failure domain's; others were moved in or out.
+    std::map<std::uint32_t, task_entry> tasks;
+    /// Wall-clock seconds since the epoch at submission, for people and deadlines across VMs.
+    std::int64_t submitted_at_s{0};
+};
+
+/// Why an assignment ended without the task having finished.
+enum class release_cause : std::uint8_t {
+    never_started,
+    evicted,
+    failed,
+    lapsed,
+    worker_restarted,
+    worker_gone,
+    cancelled,
+    domain_out,
+};
+
+struct job_admitted {
+    job_spec spec;
+    std::int64_t submitted_at_s{0};
+};
+/// A task that comes from another failure domain.
+struct task_moved_in {
+    job_spec spec;
+    std::int64_t submitted_at_s{0};
+    task_id task;
+    std::uint32_t attempts{0};
+    std::string checkpoint;
+};
+struct task_assigned {
+    task_id task;
+    std::uint32_t attempt{0};
+    vm_id worker;
+    std::string incarnation;
+    resources size;
+};
+struct task_stop_ordered {
+    task_id task;
+    std::uint32_t attempt{0};
+    release_cause cause{release_cause::evicted};
+};
+struct task_released {
+    task_id task;
+    std::uint32_t attempt{0};
+    release_cause cause{release_cause::evicted};
+    std::string checkpoint;
+};
+struct task_finished {
+    task_id task;
+    std::uint32_t attempt{0};
+};
+/// Given up: it failed too often.
+struct task_failed {
+    task_id task;
+    std::uint32_t attempt{0};
+};
+struct task_moved_out {
+    task_id task;
+    failure_domain_id to;
+};
+struct job_cancelled {
+    job_id job;
+};
+
+using ledger_record =
+    std::variant<job_admitted, task_moved_in, task_assigned, task_stop_ordered, task_released,
+                 task_finished, task_failed, task_moved_out, job_cancelled>;
+
+/// Durable state of one failure domain.
+struct ledger {
+    log_index applied;
+    std::map<job_id, job_entry> jobs;
+    /// Sum of the sizes assigned to each worker, unconfirmed and stopping ones included.
+    std::map<vm_id, resources> committed;
+    /// Assigned tasks by worker; mirrors `jobs`.
+    std::map<vm_id, std::set<task_id>> on_worker;
+};
+
+/// Applies one record.
+/// \return an error, and leaves the ledger as it was, when the record contradicts the ledger.
+absl::Status apply_record(ledger& book, const ledger_record& record);
+
+std::string encode_records(const std::vector<ledger_record>& records);
+absl::StatusOr<std::vector<ledger_record>> decode_records(const std::string& text);
+std::string encode_ledger(const ledger& book);
+absl::StatusOr<ledger> decode_ledger(const std::string& text);
+std::string encode_job(const job_spec& spec);
+/// Checks every field; the error names the field and the fix.
+absl::StatusOr<job_spec> decode_job(const std::string& text);
+
+} // namespace cuminmoor
--- /dev/null
+++ b/include/cuminmoor/lease.h
@@ -0,0 +1,47 @@
+/// \file
+/// Lease of the scheduler of a failure domain.
+///
+/// The row `fd/<failure domain>/lease` carries holder, epoch and the index of the last commit.
+/// Every scheduler transaction writes it with the version it last saw as precondition: one write
+/// renews the lease, numbers the commit and fences off every other writer. An observer takes over
+/// when the row has not changed for `config::lease_length` on the observer's own clock.
+#pragma once
+
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "cuminmoor/clock.h"
+#include "cuminmoor/ids.h"
+#include "cuminmoor/store.h"
+
+namespace cuminmoor {
+
+/// Content of the lease row.
+struct lease_row {
+    vm_id holder;
+    lease_epoch epoch;
+    log_index last;
+    nonce written_by;
+    /// Set by a holder that hands over; anyone may take the lease at once.
+    bool released{false};
+};
+
+std::string lease_key(const failure_domain_id& fd);
+std::string encode_lease(const lease_row& lease);
+absl::StatusOr<lease_row> decode_lease(const std::string& text);
+
+enum class lease_role : std::uint8_t { observer, acquiring, holder };
+
+struct lease_state {
+    lease_role role{lease_role::observer};
+    /// The row as last read or written, and its version; version 0: no such row seen.
+    lease_row seen;
+    row_version seen_version{0};
+    /// When `seen_version` was first seen by this process.
+    instant unchanged_since;
+    bool has_read{false};
+    /// Holder only: the lease ends here, counted from before its renewal was sent.
+    instant valid_until;
+};
+
+} // namespace cuminmoor
