Effect log_event: the reducer's parts can log

The reducer does no I/O, so a log line is an effect like any other: an event name and typed key=value fields in order. A pair of strings was ruled out in favour of a named struct.

--- a/include/cuminmoor/effect.h
+++ b/include/cuminmoor/effect.h
@@ -3,6 +3,7 @@
 /// the driver executes it.
 #pragma once
 
+#include <string>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -16,12 +17,24 @@
 
 namespace cuminmoor {
 
+/// One key=value pair of a log line.
+struct log_field {
+    std::string name;
+    std::string value;
+};
+
+/// Effect: write one line to the log, "event=<name>" and the fields in order.
+struct log_event {
+    std::string name;
+    std::vector<log_field> fields;
+};
+
 /// Effect: nothing is left to do; the process may exit.
 struct shutdown_complete {};
 
 using effect_body = std::variant<store_commit, store_read, object_put, object_get, vm_list_read,
                                  peer_send, worker_sync, request_dispatch, request_drop_dispatch,
-                                 request_answer, command_answer, shutdown_complete>;
+                                 request_answer, command_answer, log_event, shutdown_complete>;
 
 /// One effect. The driver checks `not_after` immediately before it acts, so that a process which
 /// was paused sends nothing stale. A store effect dropped for that reason is answered
