Configuration and membership parts of the reducer

Cause: every other part decides by the configuration in force and by who is there. Membership: a VM counts as gone only after missing from the list for 3 s, since the list lags.

--- a/include/cuminmoor/config.h
+++ b/include/cuminmoor/config.h
@@ -18,6 +18,22 @@
 inline constexpr millis peer_timeout{2'500};
 inline constexpr millis vm_list_poll{1'000};
 inline constexpr std::uint64_t changes_per_snapshot{32};
+/// Steps kept in the table behind a snapshot, for readers that lag.
+inline constexpr std::uint64_t changes_kept{128};
+inline constexpr std::size_t max_recent_changes{64};
+inline constexpr std::size_t max_changes_per_read{256};
+inline constexpr std::size_t max_changes_per_datagram{8};
+/// Entry VMs of other failure domains get a heartbeat in turn.
+inline constexpr millis remote_peer_timeout{10'000};
+/// A VM must be missing from the platform's list this long to count as gone.
+inline constexpr millis gone_confirmation{3'000};
+inline constexpr std::size_t max_leaving_per_heartbeat{32};
+
+// Commands.
+inline constexpr millis command_timeout{8'000};
+inline constexpr millis command_retry{200};
+inline constexpr std::size_t max_jobs_per_list{1'000};
+inline constexpr std::size_t max_jobs_per_cancel{1'000};
 
 // Scheduler lease of a failure domain.
 inline constexpr millis lease_length{3'000};
--- a/include/cuminmoor/configuration.h
+++ b/include/cuminmoor/configuration.h
@@ -18,6 +18,7 @@
 #include "cuminmoor/ids.h"
 #include "cuminmoor/store.h"
 #include "cuminmoor/units.h"
+#include "nlohmann/json.hpp"
 
 namespace cuminmoor {
 
@@ -94,12 +95,27 @@
 /// \return the preset of that name, or an error that lists the known ones.
 absl::StatusOr<preset> parse_preset(const std::string& name);
 
-/// Keys and texts of the rows.
+/// \return key of the row that holds the step to `version`.
 std::string change_key(config_version version);
-std::string encode_change(const configuration_change& change);
-absl::StatusOr<configuration_change> decode_change(const std::string& text);
-std::string encode_configuration(const configuration& whole);
-absl::StatusOr<configuration> decode_configuration(const std::string& text);
+
+/// JSON form of a step, the same for operators and in rows: {"kind":"use_preset","preset":"peak"}.
+nlohmann::json change_to_json(const configuration_change& change);
+absl::StatusOr<configuration_change> change_from_json(const nlohmann::json& value);
+
+/// Content of a `config/change/N` row.
+struct change_row {
+    configuration_change change;
+    nonce written_by;
+};
+std::string encode_change_row(const change_row& content);
+absl::StatusOr<change_row> decode_change_row(const std::string& text);
+
+/// Content of `config/head`.
+std::string encode_config_head(config_version version);
+absl::StatusOr<config_version> decode_config_head(const std::string& text);
+
+nlohmann::json configuration_to_json(const configuration& whole);
+absl::StatusOr<configuration> configuration_from_json(const nlohmann::json& value);
 
 inline constexpr const char* config_head_key = "config/head";
 inline constexpr const char* config_snapshot_key = "config/snapshot";
@@ -115,6 +131,10 @@
     instant confirmed_at{-1'000'000'000};
     instant next_poll;
     bool poll_in_flight{false};
+    /// The next poll reads the snapshot too: the steps since `current` are no longer all there.
+    bool needs_snapshot{true};
+    /// Newest steps, oldest first, at most `config::max_recent_changes`; for peers that lag.
+    std::vector<numbered_change> recent;
 };
 
 } // namespace cuminmoor
--- a/include/cuminmoor/membership.h
+++ b/include/cuminmoor/membership.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "cuminmoor/clock.h"
@@ -105,6 +106,16 @@
     bool list_in_flight{false};
     instant next_heartbeat;
     std::uint64_t heartbeat_sequence{0};
+    /// Since when a listed VM has been missing from the list.
+    std::map<vm_id, instant> missing_since;
 };
 
+/// \return true when the peer was heard lately, in the same or another failure domain, and is not
+/// leaving.
+bool is_peer_reachable(const membership_state& m, const vm_id& peer,
+                       const failure_domain_id& own_domain, instant now);
+
+/// \return every failure domain that a listed VM belongs to.
+std::set<failure_domain_id> known_failure_domains(const membership_state& m);
+
 } // namespace cuminmoor
--- /dev/null
+++ b/src/configuration_sync.cpp
@@ -0,0 +1,231 @@
+/// \file
+/// The configuration part of the reducer: polls the head row, follows the steps, relays them.
+///
+/// A version older than the one in force is never adopted: only the next step is applied, and a
+/// snapshot only when it is newer.
+#include "configuration_sync.h"
+
+#include <algorithm>
+
+#include "cuminmoor/config.h"
+#include "cuminmoor/json_reader.h"
+
+namespace cuminmoor {
+
+namespace {
+
+constexpr store_token poll_token{store_user::configuration, 1};
+constexpr store_token bootstrap_token{store_user::configuration, 2};
+constexpr config_version first_version{1};
+
+void keep_recent(configuration_state& own, const numbered_change& step)
+{
+    own.recent.push_back(step);
+    if (own.recent.size() > config::max_recent_changes) {
+        own.recent.erase(own.recent.begin());
+    }
+}
+
+void poll(context& c)
+{
+    auto& own = c.s.configuration;
+    store_read read{poll_token, {config_head_key}, {}};
+    if (own.needs_snapshot) {
+        read.keys.emplace_back(config_snapshot_key);
+    }
+    const config_version next{own.current.version.value + 1};
+    read.ranges.push_back({config_change_prefix, change_key(next), config::max_changes_per_read});
+    own.poll_in_flight = true;
+    c.out.add(std::move(read), c.now + config::store_timeout);
+}
+
+void on_tick(context& c)
+{
+    auto& own = c.s.configuration;
+    if (own.poll_in_flight || c.now < own.next_poll) {
+        return;
+    }
+    const auto spread = static_cast<std::uint64_t>(config::configuration_poll.count / 5);
+    const millis early{static_cast<std::int64_t>(jitter(c.s, spread))};
+    own.next_poll = c.now + config::configuration_poll - early;
+    poll(c);
+}
+
+/// The first entry VM to find an empty table writes version 1.
+void write_first_version(context& c)
+{
+    configuration first;
+    first.version = first_version;
+    transaction body;
+    body.preconditions.push_back({config_head_key, 0});
+    body.writes.push_back({config_head_key, encode_config_head(first.version)});
+    body.writes.push_back({config_snapshot_key, dump_json(configuration_to_json(first))});
+    c.out.add(store_commit{bootstrap_token, std::move(body)}, c.now + config::store_timeout);
+}
+
+const row* find_row(const std::vector<row>& rows, const std::string& key)
+{
+    const auto found =
+        std::find_if(rows.begin(), rows.end(), [&](const row& r) { return r.key == key; });
+    return found == rows.end() ? nullptr : &*found;
+}
+
+void adopt_snapshot(context& c, const std::vector<row>& rows)
+{
+    const row* const found = find_row(rows, config_snapshot_key);
+    if (found == nullptr) {
+        return;
+    }
+    const auto value = parse_json(found->value, "configuration snapshot");
+    if (!value.ok()) {
+        c.s.counters.add("configuration_row_unreadable");
+        return;
+    }
+    auto whole = configuration_from_json(*value);
+    if (!whole.ok()) {
+        c.s.counters.add("configuration_row_unreadable");
+        return;
+    }
+    auto& own = c.s.configuration;
+    if (whole->version > own.current.version) {
+        own.current = *std::move(whole);
+        own.recent.clear();
+        own.head_row = 0;
+    }
+}
+
+void adopt_steps(context& c, const std::vector<row>& rows)
+{
+    for (const row& r : rows) {
+        const config_version next{c.s.configuration.current.version.value + 1};
+        if (r.key != change_key(next)) {
+            continue;
+        }
+        const auto content = decode_change_row(r.value);
+        if (!content.ok()) {
+            c.s.counters.add("configuration_row_unreadable");
+            return;
+        }
+        adopt_change(c, {next, content->change}, 0);
+    }
+}
+
+/// Compares with the head after everything that was read has been adopted.
+void settle(context& c, const row& head, instant sent_at)
+{
+    auto& own = c.s.configuration;
+    const auto version = decode_config_head(head.value);
+    if (!version.ok()) {
+        c.s.counters.add("configuration_row_unreadable");
+        return;
+    }
+    if (*version < own.current.version) {
+        // The read was overtaken by a relayed step; the next one will confirm it.
+        c.s.counters.add("configuration_read_overtaken");
+        request_configuration_poll(c);
+        return;
+    }
+    if (*version > own.current.version) {
+        own.needs_snapshot = true;
+        request_configuration_poll(c);
+        return;
+    }
+    own.needs_snapshot = false;
+    own.head_row = head.version;
+    own.confirmed_at = std::max(own.confirmed_at, sent_at);
+}
+
+void on_read(context& c, const store_read_done& done)
+{
+    auto& own = c.s.configuration;
+    own.poll_in_flight = false;
+    if (!done.ok) {
+        c.s.counters.add("configuration_poll_failed");
+        return;
+    }
+    const row* const head = find_row(done.rows, config_head_key);
+    if (head == nullptr) {
+        write_first_version(c);
+        return;
+    }
+    adopt_snapshot(c, done.rows);
+    adopt_steps(c, done.rows);
+    settle(c, *head, done.sent_at);
+}
+
+/// Steps from peers are committed ones: a peer relays only what it has read or written itself.
+void on_changes(context& c, const peer_changes& message)
+{
+    for (const auto& step : message.changes) {
+        if (adopt_change(c, step, 0)) {
+            c.s.counters.add("configuration_step_from_peer");
+            request_configuration_poll(c);
+        }
+    }
+}
+
+} // namespace
+
+bool adopt_change(context& c, const numbered_change& step, row_version head_row)
+{
+    auto& own = c.s.configuration;
+    if (!apply_change(own.current, step)) {
+        return false;
+    }
+    own.head_row = head_row;
+    keep_recent(own, step);
+    c.s.counters.add("configuration_step_adopted");
+    return true;
+}
+
+void request_configuration_poll(context& c)
+{
+    c.s.configuration.next_poll = c.now;
+}
+
+void relay_changes(context& c, const std::vector<numbered_change>& steps)
+{
+    for (const auto& [id, vm] : c.s.membership.vms) {
+        if (vm.role == vm_role::entry && vm.phase != vm_phase::gone && id != c.s.self.vm) {
+            c.out.add(peer_send{id, peer_changes{c.s.self.vm, steps}},
+                      c.now + config::peer_timeout);
+        }
+    }
+}
+
+void relay_to_lagging_peer(context& c, const vm_id& peer, config_version theirs)
+{
+    const auto& own = c.s.configuration;
+    peer_changes message{c.s.self.vm, {}};
+    for (const auto& step : own.recent) {
+        if (step.version > theirs && message.changes.size() < config::max_changes_per_datagram) {
+            message.changes.push_back(step);
+        }
+    }
+    const bool is_contiguous =
+        !message.changes.empty() && message.changes.front().version.value == theirs.value + 1;
+    if (is_contiguous) {
+        c.out.add(peer_send{peer, std::move(message)}, c.now + config::peer_timeout);
+    }
+}
+
+void handle_configuration(context& c, const event& e)
+{
+    if (std::holds_alternative<tick>(e)) {
+        on_tick(c);
+    }
+    if (const auto* done = std::get_if<store_read_done>(&e); done && done->token == poll_token) {
+        on_read(c, *done);
+    }
+    if (const auto* done = std::get_if<store_committed>(&e);
+        done && done->token == bootstrap_token) {
+        request_configuration_poll(c);
+    }
+    if (const auto* received = std::get_if<peer_received>(&e)) {
+        if (const auto* changes = std::get_if<peer_changes>(&received->message)) {
+            on_changes(c, *changes);
+        }
+    }
+}
+
+} // namespace cuminmoor
