cuminmoord: thin path from HTTP over the reducer to platform, workers and runners

Cause: the reducer's effects had nothing to act on. The daemon now starts, reads the VM list and the table, passes callers' requests and operators' commands to the reducer on one control thread and executes all its effects. - HTTP server on RESTinio and client on libcurl stand behind our own interfaces, one file each. - libcurl repeats a request by itself when a kept connection was closed. Its pre-request hook now counts sendings and refuses a second one, and also tells 'not sent' from 'lost' for certain. Ruled out: switching reuse off for everything, which costs a connection for each call. - Settings as flags and environment variables, all faults listed at once.

--- /dev/null
+++ b/daemon/api_handler.h
@@ -0,0 +1,49 @@
+/// \file
+/// Everything that arrives over HTTP: callers, operators, probes.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <string>
+
+#include "cuminmoor/clock.h"
+#include "event_sink.h"
+#include "http_server.h"
+#include "metrics.h"
+#include "open_calls.h"
+
+namespace cuminmoor::io {
+
+/// Runs on the traffic threads; hands what it has read and checked to the control thread.
+class api_handler final : public http_handler {
+public:
+    /// All references must outlive the handler. \param metrics_text gives the body of /metrics.
+    api_handler(open_calls& calls, event_sink& sink, clock_source& clock, const metrics& shown,
+                std::function<std::string()> metrics_text);
+
+    void on_request(http_request request, http_responder respond) override;
+    void on_connection_closed(connection_number connection) override;
+
+    /// From now on /readyz tells the balancer to send nothing more.
+    void begin_stopping() { stopping_ = true; }
+    /// The core takes nothing in any more: what it has not seen is refused as not run.
+    void close();
+
+private:
+    void on_probe(const http_request& request, const http_responder& respond);
+    void on_caller_request(const http_request& request, const std::string& service,
+                           http_responder respond);
+    void on_command(const http_request& request, http_responder respond);
+    void hand_over(open_call call, std::function<event(traffic_handle)> make_event);
+    void refuse_closed(traffic_handle handle);
+
+    open_calls& calls_;
+    event_sink& sink_;
+    clock_source& clock_;
+    const metrics& metrics_;
+    std::function<std::string()> metrics_text_;
+    std::atomic<bool> stopping_{false};
+    std::atomic<bool> closed_{false};
+};
+
+} // namespace cuminmoor::io
--- /dev/null
+++ b/daemon/control_loop.h
@@ -0,0 +1,53 @@
+/// \file
+/// The control thread: owns the state, runs the reducer, has its effects executed.
+#pragma once
+
+#include <deque>
+#include <mutex>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "cuminmoor/clock.h"
+#include "cuminmoor/reducer.h"
+#include "effect_executor.h"
+#include "event_sink.h"
+#include "metrics.h"
+
+namespace cuminmoor::io {
+
+class control_loop final : public event_sink {
+public:
+    /// All references must outlive the loop.
+    control_loop(const reducer& decides, state initial, clock_source& clock, metrics& published);
+
+    /// From any thread, also before `run`; after it nothing is taken in.
+    void post(event e) override;
+
+    /// Runs on the calling thread until the core says that its shutdown is complete.
+    void run(effect_executor& executor);
+
+private:
+    void wait_for_tick();
+    void drain();
+    void step(const event& e);
+    void publish_when_due();
+
+    const reducer& reducer_;
+    state state_;
+    clock_source& clock_;
+    metrics& metrics_;
+    effect_executor* executor_{nullptr};
+    asio::io_context context_{1};
+    asio::steady_timer timer_{context_};
+    instant next_snapshot_;
+    bool complete_{false};
+
+    // Shared with whoever posts.
+    std::mutex mutex_;
+    std::deque<event> queue_;
+    /// True while a `drain` is scheduled that will see the whole queue.
+    bool drain_scheduled_{false};
+};
+
+} // namespace cuminmoor::io
--- /dev/null
+++ b/daemon/http_client.h
@@ -0,0 +1,88 @@
+/// \file
+/// HTTP client: one thread, connections that are kept open, and outcomes that can be relied on.
+///
+/// The library itself repeats a request when a kept connection turns out to be closed. Here the
+/// hook that runs immediately before the bytes go counts the sends and refuses a second one, so a
+/// call that is not `resendable` is sent at most once.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cuminmoor/clock.h"
+#include "http_message.h"
+
+namespace cuminmoor::io {
+
+/// One call.
+struct http_call {
+    std::string method{"GET"};
+    /// "a.b.c.d:port".
+    std::string address;
+    /// Path with its query, already escaped.
+    std::string target;
+    std::vector<http_header> headers;
+    body_text body;
+    /// The answer must be whole by then.
+    instant deadline;
+    /// Nothing is sent after that.
+    instant not_after{never};
+    std::size_t max_answer_bytes{0};
+    /// Sending it twice does no harm.
+    bool resendable{false};
+    /// Uses a new connection, so that one closed by the other side cannot lose the call.
+    bool fresh_connection{false};
+    /// Adds X-Deadline-Ms, the time left when the bytes go.
+    bool sends_deadline{false};
+    /// Not empty: the answer must repeat it in X-Request-Id.
+    std::string request_id;
+};
+
+enum class http_outcome : std::uint8_t {
+    /// A whole answer is here.
+    answered,
+    /// Certainly no byte of the request left this process.
+    not_sent,
+    /// Sent, at least in part, and no whole answer came. The connection is closed.
+    lost,
+};
+
+struct http_result {
+    http_outcome outcome{http_outcome::lost};
+    int status{0};
+    std::vector<http_header> headers;
+    std::string body;
+    /// When the bytes went, or the call was given up.
+    instant sent_at;
+    /// Why there is no answer; for the log.
+    std::string error;
+};
+
+/// Called once for each call, on the client's thread, unless the call was dropped.
+using http_callback = std::function<void(http_result)>;
+
+/// Identifies a call; 0 is none.
+using call_number = std::uint64_t;
+
+class http_client {
+public:
+    http_client() = default;
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+    http_client(http_client&&) = delete;
+    http_client& operator=(http_client&&) = delete;
+    virtual ~http_client() = default;
+
+    /// Begins a call; from any thread.
+    virtual call_number start(http_call call, http_callback done) = 0;
+    /// Gives up a call and closes its connection; its callback may still be under way.
+    virtual void drop(call_number call) = 0;
+};
+
+/// \param clock must outlive the client. \param connections most connections to one address.
+std::unique_ptr<http_client> make_http_client(clock_source& clock, long connections);
+
+} // namespace cuminmoor::io
--- /dev/null
+++ b/daemon/io_limits.h
@@ -0,0 +1,54 @@
+/// \file
+/// Limits and periods of the daemon's I/O, each with its unit in its type or name.
+#pragma once
+
+#include <cstddef>
+
+#include "cuminmoor/clock.h"
+#include "cuminmoor/config.h"
+
+namespace cuminmoor::io {
+
+// HTTP server.
+/// Above `config::max_body_bytes` a request is refused with `too_large`; above this the connection
+/// is closed before the body has been read.
+inline constexpr std::size_t max_read_body_bytes{2 * config::max_body_bytes};
+inline constexpr std::size_t max_url_bytes{4'096};
+inline constexpr std::size_t max_header_bytes{8'192};
+inline constexpr std::size_t max_header_count{64};
+inline constexpr std::size_t max_server_connections{4'096};
+/// Requests of one connection that are read ahead of their answers; above 1, so that a caller that
+/// goes away while it waits is noticed.
+inline constexpr std::size_t max_pipelined_requests{4};
+inline constexpr millis keep_alive_timeout{60'000};
+/// How long after its last answer the server waits for answers that are being written.
+inline constexpr millis flush_timeout{5'000};
+
+// HTTP client.
+/// Most connections to one runner: the share of one of eight entry VMs. Slot shares keep the use
+/// below it; this is the last resort.
+inline constexpr long connections_per_backend{config::connections_per_runner / 8};
+/// Most connections to the platform or to one worker.
+inline constexpr long connections_for_control{32};
+/// Idle connections older than this are not used again.
+inline constexpr millis client_connection_age{30'000};
+inline constexpr millis client_connect_timeout{1'000};
+inline constexpr std::size_t max_answer_bytes{4 * config::max_body_bytes};
+inline constexpr std::size_t max_document_bytes{16 * config::max_body_bytes};
+
+// Store.
+/// Calls to the store at once; reads are shed at half of it, so that commits still get through.
+inline constexpr std::size_t max_store_calls{64};
+inline constexpr std::size_t max_store_reads{32};
+
+// Workers.
+inline constexpr millis worker_sync_timeout{2'000};
+
+// Datagrams between entry VMs.
+inline constexpr std::size_t max_datagram_bytes{8'192};
+
+// Control thread.
+/// Period of the snapshot that /metrics and /readyz read.
+inline constexpr millis snapshot_period{250};
+
+} // namespace cuminmoor::io
--- /dev/null
+++ b/daemon/latency_summary.cpp
@@ -0,0 +1,75 @@
+/// \file
+/// Latency quantiles on Boost.Accumulators; the only file that includes them.
+#include "latency_summary.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+namespace cuminmoor::io {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::chrono::seconds window_length{10};
+
+using quantile_accumulator =
+    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::extended_p_square>>;
+
+} // namespace
+
+struct latency_summary::window {
+    quantile_accumulator values{acc::tag::extended_p_square::probabilities = latency_probabilities};
+
+    [[nodiscard]] latency_quantiles read() const
+    {
+        latency_quantiles q;
+        q.count = acc::count(values);
+        // The estimator needs as many samples as it has markers.
+        constexpr std::size_t markers{2 * latency_probabilities.size() + 3};
+        if (q.count >= markers) {
+            for (std::size_t i = 0; i < q.us.size(); ++i) {
+                q.us.at(i) = acc::extended_p_square(values)[static_cast<std::ptrdiff_t>(i)];
+            }
+        }
+        return q;
+    }
+};
+
+latency_summary::latency_summary()
+    : filling_{std::make_unique<window>()}, filling_since_{measuring_clock::now()}
+{
+}
+
+latency_summary::~latency_summary() = default;
+
+void latency_summary::add(measuring_clock::duration latency)
+{
+    const std::lock_guard lock{mutex_};
+    turn_over(measuring_clock::now());
+    filling_->values(std::chrono::duration<double, std::micro>(latency).count());
+}
+
+latency_quantiles latency_summary::read()
+{
+    const std::lock_guard lock{mutex_};
+    turn_over(measuring_clock::now());
+    return has_last_ ? last_ : filling_->read();
+}
+
+void latency_summary::turn_over(measuring_clock::time_point now)
+{
+    if (now - filling_since_ < window_length) {
+        return;
+    }
+    // A window that ended long ago says nothing about now.
+    const bool is_fresh = now - filling_since_ < 2 * window_length;
+    last_ = is_fresh ? filling_->read() : latency_quantiles{};
+    has_last_ = is_fresh;
+    filling_ = std::make_unique<window>();
+    filling_since_ = now;
+}
+
+} // namespace cuminmoor::io
--- /dev/null
+++ b/daemon/latency_summary.h
@@ -0,0 +1,51 @@
+/// \file
+/// Quantiles of a latency over the last full window.
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+
+#include "open_calls.h"
+
+namespace cuminmoor::io {
+
+/// Quantiles that are kept, in this order: p50, p99, p99.9.
+inline constexpr std::array latency_probabilities{0.5, 0.99, 0.999};
+
+struct latency_quantiles {
+    /// In the window.
+    std::uint64_t count{0};
+    /// Microseconds, for `latency_probabilities`.
+    std::array<double, latency_probabilities.size()> us{};
+};
+
+/// Estimates quantiles by Boost.Accumulators. Windows follow one another; the reader gets the last
+/// full one, or the one that is being filled while there is none. May be used by any thread.
+class latency_summary {
+public:
+    latency_summary();
+    ~latency_summary();
+    latency_summary(const latency_summary&) = delete;
+    latency_summary& operator=(const latency_summary&) = delete;
+    latency_summary(latency_summary&&) = delete;
+    latency_summary& operator=(latency_summary&&) = delete;
+
+    void add(measuring_clock::duration latency);
+    [[nodiscard]] latency_quantiles read();
+
+private:
+    struct window;
+
+    void turn_over(measuring_clock::time_point now);
+
+    std::mutex mutex_;
+    std::unique_ptr<window> filling_;
+    measuring_clock::time_point filling_since_;
+    latency_quantiles last_;
+    bool has_last_{false};
+};
+
+} // namespace cuminmoor::io
--- /dev/null
+++ b/daemon/logging.cpp
@@ -0,0 +1,82 @@
+/// \file
+/// Key=value lines on glog.
+#include "logging.h"
+
+#include <utility>
+
+#include <glog/logging.h>
+
+namespace cuminmoor::io {
+
+namespace {
+
+log_identity& identity()
+{
+    static log_identity value;
+    return value;
+}
+
+bool needs_quotes(const std::string& value)
+{
+    return value.empty() || value.find_first_of(" \t\r\n\"=\\") != std::string::npos;
+}
+
+std::string quoted(const std::string& value)
+{
+    std::string out{'"'};
+    for (const char c : value) {
+        if (c == '"' || c == '\\') {
+            out += '\\';
+        }
+        const bool is_control = static_cast<unsigned char>(c) < ' ';
+        out += is_control ? ' ' : c;
+    }
+    out += '"';
+    return out;
+}
+
+std::string line(const std::string& event, std::vector<log_field> fields)
+{
+    fields.insert(fields.begin(), {{"vm", identity().vm}, {"fd", identity().failure_domain}});
+    return format_event(event, fields);
+}
+
+} // namespace
+
+void start_logging(const char* program, log_level least)
+{
+    FLAGS_logtostderr = true;
+    FLAGS_minloglevel = static_cast<int>(least);
+    google::InitGoogleLogging(program);
+}
+
+std::string format_event(const std::string& name, const std::vector<log_field>& fields)
+{
+    std::string text = "event=" + name;
+    for (const log_field& f : fields) {
+        text += " " + f.name + "=" + (needs_quotes(f.value) ? quoted(f.value) : f.value);
+    }
+    return text;
+}
+
+void set_log_identity(log_identity value)
+{
+    identity() = std::move(value);
+}
+
+void log_info(const std::string& event, std::vector<log_field> fields)
+{
+    LOG(INFO) << line(event, std::move(fields));
+}
+
+void log_warning(const std::string& event, std::vector<log_field> fields)
+{
+    LOG(WARNING) << line(event, std::move(fields));
+}
+
+void log_error(const std::string& event, std::vector<log_field> fields)
+{
+    LOG(ERROR) << line(event, std::move(fields));
+}
+
+} // namespace cuminmoor::io
--- /dev/null
+++ b/daemon/logging.h
@@ -0,0 +1,31 @@
+/// \file
+/// Logs: one line of key=value pairs for each event, by glog to standard error.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "cuminmoor/effect.h"
+
+namespace cuminmoor::io {
+
+enum class log_level : std::uint8_t { info, warning, error };
+
+/// Starts glog. \param program name of this program.
+void start_logging(const char* program, log_level least);
+
+/// \return "event=<name>" and the fields; values with spaces, quotes or '=' are quoted.
+std::string format_event(const std::string& name, const std::vector<log_field>& fields);
+
+/// Who writes: put after the event's name in every line.
+struct log_identity {
+    std::string vm;
+    std::string failure_domain;
+};
+void set_log_identity(log_identity identity);
+
+void log_info(const std::string& event, std::vector<log_field> fields = {});
+void log_warning(const std::string& event, std::vector<log_field> fields = {});
+void log_error(const std::string& event, std::vector<log_field> fields = {});
+
+} // namespace cuminmoor::io
--- /dev/null
+++ b/daemon/main.cpp
@@ -0,0 +1,94 @@
+/// \file
+/// Start, signals and end of cuminmoord.
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+
+#include "daemon.h"
+#include "logging.h"
+#include "settings.h"
+
+namespace {
+
+namespace io = cuminmoor::io;
+
+constexpr const char* version_text = "cuminmoord 0.1.0";
+constexpr int exit_usage{2};
+
+/// The first signal asks for a graceful shutdown, the second ends the process at once.
+void await_signals(asio::signal_set& signals, io::daemon_process& daemon, bool is_second = false)
+{
+    signals.async_wait([&signals, &daemon, is_second](const asio::error_code& error, int number) {
+        if (error) {
+            return;
+        }
+        io::log_info("signal", {{"number", std::to_string(number)},
+                                {"action", is_second ? "exit" : "shutdown"}});
+        if (is_second) {
+            std::_Exit(EXIT_FAILURE);
+        }
+        daemon.request_shutdown();
+        await_signals(signals, daemon, true);
+    });
+}
+
+int serve(const io::settings& s)
+{
+    io::start_logging("cuminmoord", s.least_log_level);
+    io::set_log_identity({s.vm.value, s.failure_domain.value});
+    asio::io_context context{1};
+    asio::signal_set signals{context, SIGTERM, SIGINT};
+    io::daemon_process daemon{s};
+    if (const auto started = daemon.start(); !started.ok()) {
+        std::cerr << started.message() << '\n';
+        return EXIT_FAILURE;
+    }
+    await_signals(signals, daemon);
+    std::thread control{[&daemon, &context] {
+        daemon.run();
+        context.stop();
+    }};
+    context.run();
+    control.join();
+    return EXIT_SUCCESS;
+}
+
+int run(const io::settings& s)
+{
+    switch (s.mode) {
+    case io::run_mode::help:
+        std::cout << io::settings_help();
+        return EXIT_SUCCESS;
+    case io::run_mode::version:
+        std::cout << version_text << '\n';
+        return EXIT_SUCCESS;
+    case io::run_mode::print_settings:
+        std::cout << io::format_settings(s);
+        return EXIT_SUCCESS;
+    case io::run_mode::check:
+        std::cout << "settings are in order\n";
+        return EXIT_SUCCESS;
+    case io::run_mode::serve:
+        return serve(s);
+    }
+    return EXIT_FAILURE;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto parsed = io::parse_settings({argv + 1, argv + argc});
+    if (!parsed.ok()) {
+        std::cerr << parsed.status().message() << '\n';
+        return exit_usage;
+    }
+    return run(*parsed);
+}
--- /dev/null
+++ b/daemon/settings.cpp
@@ -0,0 +1,242 @@
+/// \file
+/// Reading and checking of settings.
+#include "settings.h"
+
+#include <array>
+#include <cstdlib>
+#include <sstream>
+#include <utility>
+
+#include <boost/program_options.hpp>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_replace.h"
+#include "cuminmoor/json_reader.h"
+
+namespace cuminmoor::io {
+
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr std::size_t max_traffic_threads{64};
+
+struct setting {
+    const char* name;
+    const char* otherwise;
+    const char* help;
+};
+
+/// Every setting that has a value. An empty default means that it must be given.
+constexpr std::array all_settings{
+    setting{"vm", "", "name of this entry VM, as the platform lists it"},
+    setting{"failure-domain", "", "failure domain of this entry VM"},
+    setting{"http-address", "", "IP:PORT for callers and operators"},
+    setting{"peer-address", "", "IP:PORT for datagrams between entry VMs"},
+    setting{"platform", "", "IP:PORT of the platform's table, objects and VM list"},
+    setting{"traffic-threads", "2", "threads that read and write HTTP, 1 to 64"},
+    setting{"log-level", "info", "least level that is logged: info, warning or error"},
+};
+
+struct level_name {
+    const char* name;
+    log_level level;
+};
+
+constexpr std::array level_names{
+    level_name{"info", log_level::info},
+    level_name{"warning", log_level::warning},
+    level_name{"error", log_level::error},
+};
+
+std::string environment_name(const char* setting_name)
+{
+    return "CUMINMOOR_" + absl::AsciiStrToUpper(absl::StrReplaceAll(setting_name, {{"-", "_"}}));
+}
+
+po::options_description describe()
+{
+    po::options_description flags{"cuminmoord: entry VM daemon. A flag beats its variable"};
+    for (const setting& s : all_settings) {
+        const std::string text = std::string{s.help} + " [" + environment_name(s.name) + "]";
+        flags.add_options()(s.name, po::value<std::string>(), text.c_str());
+    }
+    flags.add_options()("check", "check the settings and exit")(
+        "print-settings", "print the settings in force and exit")(
+        "version", "print the version and exit")("help", "print this text and exit");
+    return flags;
+}
+
+/// Collects faults while the values are read.
+class value_reader {
+public:
+    explicit value_reader(const po::variables_map& flags) : flags_{flags} {}
+
+    void fault(const std::string& text) { faults_ += (faults_.empty() ? "" : "\n") + text; }
+    [[nodiscard]] const std::string& faults() const { return faults_; }
+
+    std::string value(const setting& s)
+    {
+        if (flags_.count(s.name) > 0) {
+            return flags_[s.name].as<std::string>();
+        }
+        // Read before any thread is started.
+        const char* const variable =
+            std::getenv(environment_name(s.name).c_str()); // NOLINT(concurrency-mt-unsafe)
+        return variable != nullptr ? variable : s.otherwise;
+    }
+
+    std::string required(const setting& s)
+    {
+        std::string text = value(s);
+        if (text.empty()) {
+            fault(std::string{"--"} + s.name + " is missing: " + s.help + "; give the flag or " +
+                  environment_name(s.name));
+        }
+        return text;
+    }
+
+    std::string name(const setting& s)
+    {
+        std::string text = required(s);
+        if (!is_name_or_empty(text)) {
+            fault(std::string{"--"} + s.name + ": \"" + text +
+                  "\" is not a name; use printable characters without space and '/'");
+        }
+        return text;
+    }
+
+    ip_address address(const setting& s)
+    {
+        const std::string text = required(s);
+        if (text.empty()) {
+            return {};
+        }
+        auto parsed = parse_address(text);
+        if (!parsed.ok()) {
+            fault(std::string{"--"} + s.name + ": " + std::string{parsed.status().message()});
+        }
+        return std::move(parsed).value_or(ip_address{});
+    }
+
+    std::size_t threads(const setting& s)
+    {
+        std::size_t count{0};
+        const std::string text = value(s);
+        if (!absl::SimpleAtoi(text, &count) || count == 0 || count > max_traffic_threads) {
+            fault(std::string{"--"} + s.name + ": \"" + text + "\" must be 1 to " +
+                  std::to_string(max_traffic_threads));
+        }
+        return count;
+    }
+
+    log_level level(const setting& s)
+    {
+        const std::string text = value(s);
+        for (const level_name& known : level_names) {
+            if (text == known.name) {
+                return known.level;
+            }
+        }
+        fault(std::string{"--"} + s.name + ": \"" + text + "\" must be info, warning or error");
+        return log_level::info;
+    }
+
+private:
+    const po::variables_map& flags_;
+    std::string faults_;
+};
+
+run_mode mode_of(const po::variables_map& flags)
+{
+    if (flags.count("help") > 0) {
+        return run_mode::help;
+    }
+    if (flags.count("version") > 0) {
+        return run_mode::version;
+    }
+    if (flags.count("print-settings") > 0) {
+        return run_mode::print_settings;
+    }
+    return flags.count("check") > 0 ? run_mode::check : run_mode::serve;
+}
+
+std::string join(const ip_address& a)
+{
+    const bool is_v6 = a.ip.find(':') != std::string::npos;
+    return (is_v6 ? "[" + a.ip + "]" : a.ip) + ":" + std::to_string(a.port);
+}
+
+absl::StatusOr<settings> read_values(value_reader reader, run_mode mode)
+{
+    settings s;
+    s.mode = mode;
+    const auto& [vm, fd, http, peer, platform, threads, level] = all_settings;
+    s.vm.value = reader.name(vm);
+    s.failure_domain.value = reader.name(fd);
+    s.http = reader.address(http);
+    s.peer = reader.address(peer);
+    const ip_address platform_address = reader.address(platform);
+    s.platform = join(platform_address);
+    s.traffic_threads = reader.threads(threads);
+    s.least_log_level = reader.level(level);
+    if (!reader.faults().empty()) {
+        return absl::InvalidArgumentError(reader.faults());
+    }
+    return s;
+}
+
+} // namespace
+
+absl::StatusOr<settings> parse_settings(const std::vector<std::string>& arguments)
+{
+    po::variables_map flags;
+    std::vector<std::string> unknown;
+    // The parser only refers to it.
+    const po::options_description known = describe();
+    try {
+        const auto parsed =
+            po::command_line_parser(arguments)
+                .options(known)
+                .style(po::command_line_style::unix_style & ~po::command_line_style::allow_guessing)
+                .allow_unregistered()
+                .run();
+        po::store(parsed, flags);
+        unknown = po::collect_unrecognized(parsed.options, po::include_positional);
+    }
+    catch (const po::error& e) {
+        return absl::InvalidArgumentError(std::string{e.what()} + "; see --help");
+    }
+    value_reader reader{flags};
+    for (const std::string& argument : unknown) {
+        reader.fault("\"" + argument + "\" is not a setting; see --help");
+    }
+    const run_mode mode = mode_of(flags);
+    if (mode == run_mode::help || mode == run_mode::version) {
+        settings s;
+        s.mode = mode;
+        return s;
+    }
+    return read_values(std::move(reader), mode);
+}
+
+std::string format_settings(const settings& s)
+{
+    std::ostringstream out;
+    out << "vm=" << s.vm.value << "\nfailure-domain=" << s.failure_domain.value
+        << "\nhttp-address=" << join(s.http) << "\npeer-address=" << join(s.peer)
+        << "\nplatform=" << s.platform << "\ntraffic-threads=" << s.traffic_threads
+        << "\nlog-level=" << level_names.at(static_cast<std::size_t>(s.least_log_level)).name
+        << "\n";
+    return out.str();
+}
+
+std::string settings_help()
+{
+    std::ostringstream out;
+    out << describe();
+    return out.str();
+}
+
+} // namespace cuminmoor::io
--- /dev/null
+++ b/daemon/settings.h
@@ -0,0 +1,42 @@
+/// \file
+/// Settings of the daemon, from flags and environment variables. docs/SETTINGS.md lists them.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "address.h"
+#include "cuminmoor/ids.h"
+#include "logging.h"
+
+namespace cuminmoor::io {
+
+/// What the process was started for.
+enum class run_mode : std::uint8_t { serve, check, print_settings, version, help };
+
+struct settings {
+    run_mode mode{run_mode::serve};
+    vm_id vm;
+    failure_domain_id failure_domain;
+    ip_address http;
+    ip_address peer;
+    /// "ip:port" of the platform's HTTP interface.
+    std::string platform;
+    std::size_t traffic_threads{2};
+    log_level least_log_level{log_level::info};
+};
+
+/// Reads flags, and environment variables for those that are not given as flags.
+/// \param arguments without the program's name.
+/// \return an error whose message lists all faults, one a line, each with its fix.
+absl::StatusOr<settings> parse_settings(const std::vector<std::string>& arguments);
+
+/// \return one "name=value" line for each setting.
+std::string format_settings(const settings& s);
+
+/// \return the help text with every flag and its environment variable.
+std::string settings_help();
+
+} // namespace cuminmoor::io
--- /dev/null
+++ b/daemon/system_clock.h
@@ -0,0 +1,25 @@
+/// \file
+/// The operating system's monotonic clock.
+#pragma once
+
+#include <ctime>
+
+#include "cuminmoor/clock.h"
+
+namespace cuminmoor::io {
+
+/// CLOCK_BOOTTIME: goes on while the machine is suspended, so that a lease does not seem younger
+/// after a pause. May be read by any thread.
+class system_clock final : public clock_source {
+public:
+    instant now() override
+    {
+        timespec t{};
+        clock_gettime(CLOCK_BOOTTIME, &t);
+        constexpr std::int64_t ms_per_second{1'000};
+        constexpr std::int64_t ns_per_ms{1'000'000};
+        return {std::int64_t{t.tv_sec} * ms_per_second + t.tv_nsec / ns_per_ms};
+    }
+};
+
+} // namespace cuminmoor::io
--- a/include/cuminmoor/json_reader.h
+++ b/include/cuminmoor/json_reader.h
@@ -28,6 +28,9 @@
 /// Largest length of a name, in bytes.
 inline constexpr std::size_t max_name_bytes = 128;
 
+/// \return true for at most `max_name_bytes` printable characters without '/' and space.
+bool is_name_or_empty(const std::string& text);
+
 /// Reads fields one by one; the first fault is kept and later reads do nothing.
 ///
 ///     json_reader r{value, "job"};
--- a/src/json_reader.cpp
+++ b/src/json_reader.cpp
@@ -17,14 +17,14 @@
     return ch > ' ' && ch < 0x7f && ch != '/';
 }
 
-bool is_name(const std::string& text)
+} // namespace
+
+bool is_name_or_empty(const std::string& text)
 {
     return text.size() <= max_name_bytes &&
            std::all_of(text.begin(), text.end(), is_name_character);
 }
 
-} // namespace
-
 absl::StatusOr<json> parse_json(const std::string& text, const std::string& where)
 {
     json value = json::parse(text, nullptr, false);
@@ -87,7 +87,7 @@
 void json_reader::optional_name(const char* field, std::string& out)
 {
     optional_text(field, out, max_name_bytes);
-    if (fault_.ok() && !is_name(out)) {
+    if (fault_.ok() && !is_name_or_empty(out)) {
         fail(out_of_range_error(where_ + ": field '" + field +
                                 "' may hold printable characters only, without space and '/'"));
     }
