Requests: slots, fair queue, deadlines, retries, spill and claims

Cause: the thin path neither queued nor retried, and a repeat of a non-idempotent request would have run twice. Slots of each runner are now split among the entry VMs by rendezvous hashing with quotas; requests wait in a fair queue per service; retries come from a budget; a non-idempotent request is dispatched only under its claim row. Ruled out: pure earliest-deadline order (a caller could claim short deadlines to win), unbounded weights (slots would change hands with every heartbeat). waiting_requests in heartbeats is now a smoothed demand.

--- a/include/cuminmoor/config.h
+++ b/include/cuminmoor/config.h
@@ -59,6 +59,41 @@
 inline constexpr std::size_t max_body_bytes{std::size_t{1} << 20U};
 inline constexpr millis default_request_deadline{10'000};
 inline constexpr millis max_request_deadline{120'000};
+/// Bodies of all open requests of an entry VM, in bytes.
+inline constexpr std::size_t max_open_body_bytes{std::size_t{64} << 20U};
+/// A slot that changes its entry VM rests this long, until both have heard of the change.
+inline constexpr millis slot_handover{1'500};
+/// A slot whose dispatch was lost or dropped counts as taken for this long.
+inline constexpr millis lost_slot_hold{1'000};
+/// Demand that an idle entry VM is counted with when slots are shared out.
+inline constexpr std::uint64_t demand_floor{16};
+/// First pause of a backend server that refused or lost a request; doubles up to the cap.
+inline constexpr millis backend_backoff_base{100};
+inline constexpr millis backend_backoff_cap{3'000};
+/// Dispatches of one request, the first one included.
+inline constexpr std::uint32_t max_dispatches{4};
+inline constexpr std::uint32_t max_spills{2};
+inline constexpr std::int64_t spills_in_flight_per_vm{64};
+/// Retries allowed per thousand first dispatches of a service.
+inline constexpr std::int64_t retry_budget_permille{100};
+/// Retries that a service may save up, and starts with.
+inline constexpr std::int64_t retry_budget_cap{32};
+/// Turns that a caller may be ahead of the others for the sake of an urgent deadline.
+inline constexpr std::uint64_t urgent_turns{8};
+/// How long the answer of a dispatch is still waited for after its deadline.
+inline constexpr millis dispatch_linger{1'000};
+/// Half-life of a service time estimate without new samples.
+inline constexpr millis service_time_half_life{5'000};
+
+// Claims of non-idempotent requests.
+inline constexpr std::size_t max_open_claims{512};
+/// Answers above this size are not kept for repeats.
+inline constexpr std::size_t max_stored_answer_bytes{std::size_t{64} << 10U};
+inline constexpr millis claim_poll_base{50};
+inline constexpr millis claim_poll_cap{1'000};
+/// How long the outcome of a claim is offered to a store that does not take it.
+inline constexpr millis claim_settle_patience{30'000};
+inline constexpr millis claim_settle_patience_when_stopping{5'000};
 
 // Store.
 inline constexpr millis store_timeout{1'500};
--- /dev/null
+++ b/src/claims_settle.cpp
@@ -0,0 +1,155 @@
+/// \file
+/// The end of a claim: its row is deleted when nothing ran, or gets the answer, or is marked.
+///
+/// Every write has our row's version as its precondition, so that a late one can't touch the claim
+/// of a later attempt.
+#include <algorithm>
+
+#include "requests_internal.h"
+
+namespace cuminmoor::requests {
+
+namespace {
+
+constexpr std::uint32_t max_doublings{10};
+
+void apply_goal(open_request& r)
+{
+    auto& record = r.claim->record;
+    if (r.claim->goal == claim_goal::mark_unknown) {
+        record.status = claim_status::unknown;
+        return;
+    }
+    const auto& result = *r.claim->result;
+    const std::size_t size = result.body ? result.body->size() : 0;
+    record.http_status = result.status;
+    record.status = claim_status::done;
+    if (size > config::max_stored_answer_bytes) {
+        record.status = claim_status::answer_too_large;
+    }
+    else if (result.body) {
+        record.body = *result.body;
+    }
+}
+
+instant give_up_at(const context& c, const claim_progress& claim)
+{
+    return claim.settling_since + (c.s.stopping ? config::claim_settle_patience_when_stopping
+                                                : config::claim_settle_patience);
+}
+
+std::uint64_t register_call(context& c, open_request& r, claim_call call)
+{
+    auto& own = c.s.requests;
+    r.claim->call = call;
+    r.claim->call_number = own.next_store_call++;
+    own.store_calls[r.claim->call_number] = r.arrived.handle;
+    return r.claim->call_number;
+}
+
+} // namespace
+
+bool may_hold_claim(const open_request& r)
+{
+    return r.claim &&
+           (r.claim->version != 0 || r.claim->write_unknown || r.claim->call == claim_call::claim);
+}
+
+void settle_claim(context& c, open_request& r, claim_goal goal)
+{
+    auto& claim = *r.claim;
+    r.phase = request_phase::settling;
+    claim.goal = goal;
+    claim.settling_since = c.now;
+    claim.store_tries = 0;
+    if (goal != claim_goal::release) {
+        apply_goal(r);
+        answer_joined(c, r);
+    }
+    if (claim.deferred && (r.answered || r.arrived.deadline <= c.now)) {
+        give_answer(c, r, *std::exchange(claim.deferred, std::nullopt));
+    }
+    settle_step(c, r);
+}
+
+void settle_step(context& c, open_request& r)
+{
+    auto& claim = *r.claim;
+    set_wake(c, r, claim.deferred ? r.arrived.deadline : never);
+    if (claim.call != claim_call::none) {
+        return;
+    }
+    if (give_up_at(c, claim) <= c.now) {
+        c.s.counters.add("claim_settle_given_up");
+        finish_settlement(c, r);
+    }
+    else if (claim.version == 0) {
+        send_claim_read(c, r);
+    }
+    else {
+        transaction body{.preconditions = {{claim.key, claim.version}},
+                         .writes = {{claim.key, {}}}};
+        if (claim.goal != claim_goal::release) {
+            body.writes.front().value = encode_claim(claim.record);
+        }
+        send_claim_commit(c, r, claim_call::settle, std::move(body), never);
+    }
+}
+
+void finish_settlement(context& c, open_request& r)
+{
+    if (r.claim->deferred) {
+        give_answer(c, r, *r.claim->deferred);
+    }
+    close(c, r.arrived.handle);
+}
+
+void answer_joined(context& c, open_request& r)
+{
+    const auto joined = std::exchange(r.claim->joined, {});
+    const auto& result = r.claim->result;
+    for (const auto handle : joined) {
+        auto* other = find_open(c, handle);
+        if (other == nullptr || other->phase != request_phase::joined) {
+            continue;
+        }
+        give_answer(c, *other,
+                    result ? *result
+                           : request_answer{.handle = handle,
+                                            .code = result_code::claimed_outcome_unknown,
+                                            .status = 0,
+                                            .body = nullptr,
+                                            .message = "it was sent once, and its answer was lost; "
+                                                       "it may have run"});
+        close(c, handle);
+    }
+}
+
+void send_claim_commit(context& c, open_request& r, claim_call call, transaction body,
+                       instant not_after)
+{
+    const auto number = register_call(c, r, call);
+    c.out.add(store_commit{.token = {store_user::requests, number}, .body = std::move(body)},
+              not_after);
+}
+
+void send_claim_read(context& c, open_request& r)
+{
+    const auto number = register_call(c, r, claim_call::read);
+    c.out.add(
+        store_read{.token = {store_user::requests, number}, .keys = {r.claim->key}, .ranges = {}});
+}
+
+void retry_claim_later(context& c, open_request& r, millis base, millis cap)
+{
+    auto& claim = *r.claim;
+    const auto doublings = std::min(claim.store_tries, max_doublings);
+    ++claim.store_tries;
+    const std::int64_t pause = std::min(base.count << doublings, cap.count);
+    const auto spread = static_cast<std::int64_t>(jitter(c.s, static_cast<std::uint64_t>(pause)));
+    const instant at = c.now + millis{pause / 2 + spread / 2 + 1};
+    const bool bounded = r.phase != request_phase::settling || claim.deferred;
+    set_wake(c, r, bounded ? std::min(at, r.arrived.deadline) : at);
+}
+
+} // namespace cuminmoor::requests
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -40,7 +40,7 @@
     beat.leaving = c.s.stopping;
     beat.version = c.s.configuration.current.version;
     beat.confirmed_age = c.now - c.s.configuration.confirmed_at;
-    beat.waiting_requests = static_cast<std::uint32_t>(c.s.requests.open.size());
+    beat.waiting_requests = waiting_requests(c.s.requests);
     beat.lease_holder = c.s.scheduler.lease.seen.holder;
     beat.epoch = c.s.scheduler.lease.seen.epoch;
     for (const auto& vm : own.leaving) {
--- a/src/requests.cpp
+++ b/src/requests.cpp
@@ -1,141 +1,147 @@
 /// \file
-/// Requests part of the reducer: from a request's arrival to its one answer.
-#include "context.h"
-#include "cuminmoor/config.h"
+/// Requests part of the reducer: which event leads to which step.
+#include <algorithm>
+
+#include "requests_internal.h"
 
 namespace cuminmoor {
 
-namespace {
+namespace requests {
 
-bool is_candidate(const state& s, const vm_entry& vm, const service_id& service)
-{
-    return vm.role == vm_role::runner && vm.phase == vm_phase::live && vm.service == service &&
-           vm.failure_domain == s.self.failure_domain && !s.membership.leaving.contains(vm.id);
-}
+namespace {
 
-const vm_entry* choose_runner(const state& s, const service_id& service)
+void on_arrived(context& c, const request_arrived& a)
 {
-    const vm_entry* best = nullptr;
-    std::int64_t best_load = config::slots_per_runner;
-    for (const auto& [id, vm] : s.membership.vms) {
-        const auto load = s.requests.in_flight.find(id);
-        const std::int64_t in_flight = load == s.requests.in_flight.end() ? 0 : load->second;
-        if (in_flight < best_load && is_candidate(s, vm, service)) {
-            best = &vm;
-            best_load = in_flight;
-        }
+    auto& own = c.s.requests;
+    auto& r = own.open[a.handle];
+    r.arrived = a;
+    r.wake_at = a.deadline;
+    own.wakes.emplace(r.wake_at, a.handle);
+    const std::size_t size = a.body ? a.body->size() : 0;
+    own.body_bytes += size;
+    c.s.counters.add("request_arrived");
+    if (c.s.stopping) {
+        refuse(c, r, result_code::shutting_down, "this entry VM is stopping; use another");
+    }
+    else if (own.body_bytes > config::max_open_body_bytes) {
+        refuse(c, r, result_code::queue_full, "too many bytes in open requests; try again later");
+    }
+    else if (a.deadline <= c.now) {
+        refuse(c, r, result_code::deadline_unreachable, "the deadline has passed; allow more time");
+    }
+    else {
+        route(c, r);
     }
-    return best;
-}
-
-void refuse(context& c, traffic_handle handle, result_code code, const std::string& message)
-{
-    c.s.counters.add("request_refused_" + std::string{name_of(code)});
-    c.out.add(request_answer{
-        .handle = handle, .code = code, .status = 0, .body = nullptr, .message = message});
-}
-
-void send_to(context& c, open_request& r, const vm_entry& runner)
-{
-    r.dispatch = dispatch_handle{c.s.requests.next_dispatch++};
-    r.sent_to = runner.id;
-    ++r.tries;
-    ++c.s.requests.in_flight[runner.id];
-    c.out.add(request_dispatch{.handle = r.arrived.handle,
-                               .dispatch = r.dispatch,
-                               .to = runner.id,
-                               .to_entry_vm = false,
-                               .deadline = r.arrived.deadline,
-                               .caller = r.arrived.caller,
-                               .service = r.arrived.service,
-                               .id = r.arrived.id,
-                               .idempotent = r.arrived.idempotent,
-                               .hops = r.arrived.hops,
-                               .body = r.arrived.body},
-              r.arrived.deadline);
 }
 
-void on_arrived(context& c, const request_arrived& a)
+/// What does not run is given up; a dispatch under way goes on, so that its slot stays accounted
+/// for and the answer of a non-idempotent request is kept.
+void on_abandoned(context& c, const request_abandoned& a)
 {
-    if (c.s.stopping) {
-        refuse(c, a.handle, result_code::shutting_down, "this entry VM is stopping; use another");
+    auto* r = find_open(c, a.handle);
+    if (r == nullptr || r->answered) {
         return;
     }
-    const vm_entry* runner = choose_runner(c.s, a.service);
-    if (runner == nullptr) {
-        refuse(c, a.handle, result_code::no_backend_server,
-               "no runner of service " + a.service.value + " has a free slot; try again later");
-        return;
+    c.s.counters.add("request_abandoned");
+    r->answered = true;
+    if (r->phase != request_phase::dispatched && r->phase != request_phase::settling) {
+        refuse(c, *r, result_code::deadline_unreachable, "");
     }
-    auto& r = c.s.requests.open[a.handle];
-    r.arrived = a;
-    send_to(c, r, *runner);
 }
 
-request_answer answer_for(const dispatch_ended& d)
+void on_wake(context& c, open_request& r)
 {
-    switch (d.outcome) {
-    case dispatch_outcome::answered:
-        return {d.handle, result_code::ok, d.status, d.body, ""};
-    case dispatch_outcome::refused:
-    case dispatch_outcome::not_sent:
-        return {d.handle, result_code::not_run_after_retries, 0, nullptr, "the runner refused it"};
-    case dispatch_outcome::lost:
+    const bool expired = r.arrived.deadline <= c.now;
+    switch (r.phase) {
+    case request_phase::queued:
+        refuse(c, r, result_code::deadline_unreachable, "no slot became free before the deadline");
         break;
+    case request_phase::dispatched:
+        on_dispatch_overdue(c, r);
+        break;
+    case request_phase::settling:
+        resume_claim(c, r);
+        break;
+    default:
+        expired ? expire_claim(c, r) : resume_claim(c, r);
     }
-    return {d.handle, result_code::outcome_unknown, 0, nullptr, "no whole answer came"};
 }
 
-void close(context& c, traffic_handle handle)
+void wake_due(context& c)
 {
-    const auto found = c.s.requests.open.find(handle);
-    --c.s.requests.in_flight[found->second.sent_to];
-    c.s.requests.open.erase(found);
+    auto& wakes = c.s.requests.wakes;
+    while (!wakes.empty() && wakes.begin()->first <= c.now) {
+        const auto handle = wakes.begin()->second;
+        auto& r = c.s.requests.open.at(handle);
+        // Whoever needs another look says so; the rest is woken by its next event.
+        set_wake(c, r, never);
+        on_wake(c, r);
+    }
 }
 
-void on_ended(context& c, const dispatch_ended& d)
+/// Hysteresis keeps slots from changing hands with every small change of demand.
+void update_demand(request_state& own)
 {
-    const auto found = c.s.requests.open.find(d.handle);
-    if (found == c.s.requests.open.end() || found->second.dispatch != d.dispatch) {
-        return;
+    constexpr std::uint64_t smoothing{8};
+    constexpr std::uint64_t unit{1'000};
+    own.demand_permille += (own.open.size() * unit) / smoothing - own.demand_permille / smoothing;
+    const std::uint64_t demand = own.demand_permille / unit + config::demand_floor;
+    const std::uint64_t announced = own.announced_demand + config::demand_floor;
+    if (demand * 2 > announced * 3 || announced * 2 > demand * 3) {
+        own.announced_demand = demand - config::demand_floor;
     }
-    c.out.add(answer_for(d));
-    close(c, d.handle);
 }
 
-void expire(context& c)
+void on_tick(context& c)
 {
-    std::vector<traffic_handle> expired;
-    for (const auto& [handle, r] : c.s.requests.open) {
-        if (r.arrived.deadline <= c.now) {
-            expired.push_back(handle);
+    update_demand(c.s.requests);
+    refresh_routes(c, false, true);
+    release_held_slots(c);
+    wake_due(c);
+    std::vector<service_id> services;
+    for (auto& [id, service] : c.s.requests.services) {
+        service.runners.end_backoffs(c.now);
+        service.spill.end_backoffs(c.now);
+        if (!service.waiting.empty()) {
+            services.push_back(id);
         }
     }
-    for (const auto handle : expired) {
-        c.out.add(request_drop_dispatch{c.s.requests.open.at(handle).dispatch});
-        c.out.add(request_answer{handle, result_code::outcome_unknown, 0, nullptr,
-                                 "no answer before the deadline"});
-        close(c, handle);
+    for (const auto& id : services) {
+        pump(c, id);
     }
 }
 
-void on_abandoned(context& c, const request_abandoned& a)
+} // namespace
+
+} // namespace requests
+
+std::uint32_t waiting_requests(const request_state& requests)
 {
-    const auto found = c.s.requests.open.find(a.handle);
-    if (found != c.s.requests.open.end()) {
-        c.out.add(request_drop_dispatch{found->second.dispatch});
-        close(c, a.handle);
-    }
+    return static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(requests.announced_demand, UINT32_MAX));
 }
 
-} // namespace
+std::int64_t connection_share(const request_state& requests)
+{
+    const auto members = static_cast<std::int64_t>(requests.routes.members.size());
+    return std::max<std::int64_t>(1, config::connections_per_runner /
+                                         std::max<std::int64_t>(1, members));
+}
 
 void handle_requests(context& c, const event& e)
 {
-    std::visit(overloaded{[&](const request_arrived& a) { on_arrived(c, a); },
-                          [&](const request_abandoned& a) { on_abandoned(c, a); },
-                          [&](const dispatch_ended& d) { on_ended(c, d); },
-                          [&](const tick&) { expire(c); }, [](const auto&) {}},
+    std::visit(overloaded{[&](const tick&) { requests::on_tick(c); },
+                          [&](const vm_list_done& l) { requests::refresh_routes(c, l.ok, true); },
+                          [&](const peer_received&) { requests::refresh_routes(c, false, false); },
+                          [&](const request_arrived& a) {
+                              requests::refresh_routes(c, false, false);
+                              requests::on_arrived(c, a);
+                          },
+                          [&](const request_abandoned& a) { requests::on_abandoned(c, a); },
+                          [&](const dispatch_ended& d) { requests::on_dispatch_ended(c, d); },
+                          [&](const store_committed& d) { requests::on_claim_committed(c, d); },
+                          [&](const store_read_done& d) { requests::on_claim_read(c, d); },
+                          [](const auto&) {}},
                e);
 }
 
--- /dev/null
+++ b/src/requests_admission.cpp
@@ -0,0 +1,187 @@
+/// \file
+/// Where a request goes: runners of this failure domain, another failure domain, or a refusal.
+#include <algorithm>
+
+#include "requests_internal.h"
+#include "stable_hash.h"
+
+namespace cuminmoor::requests {
+
+namespace {
+
+struct refusal {
+    result_code code;
+    std::string message;
+};
+
+/// \return true when this entry VM has slots of the service's runners, usable now or soon.
+bool has_local_slots(const context& c, const service_id& service)
+{
+    const auto& routes = c.s.requests.routes;
+    const auto found = routes.runners.find(service);
+    // With fewer slots than entry VMs, some have none.
+    return found != routes.runners.end() &&
+           found->second.size() * static_cast<std::size_t>(config::slots_per_runner) >=
+               routes.members.size();
+}
+
+bool is_known(const context& c, const service_id& service)
+{
+    const auto& configuration = c.s.configuration.current;
+    const auto& routes = c.s.requests.routes;
+    return configuration.version == config_version{} || configuration.services.contains(service) ||
+           routes.runners.contains(service) || routes.remote.contains(service);
+}
+
+void refuse_without_runner(context& c, open_request& r)
+{
+    const auto& service = r.arrived.service.value;
+    if (r.tries > 0) {
+        refuse(c, r, result_code::not_run_after_retries,
+               "refused elsewhere, and no runner of service " + service + " here; try again later");
+    }
+    else if (!is_known(c, r.arrived.service)) {
+        refuse(c, r, result_code::unknown_service,
+               "service " + service + " does not exist; check its name");
+    }
+    else {
+        refuse(c, r, result_code::no_backend_server,
+               "no runner of service " + service + " is in reach; try again later");
+    }
+}
+
+/// A full queue is shared evenly among the callers that wait in it.
+std::optional<refusal> check_queue(context& c, const service_state& service, const open_request& r)
+{
+    const auto& waiting = service.waiting;
+    if (waiting.size() < config::max_queued_requests) {
+        return std::nullopt;
+    }
+    const std::size_t own = waiting.size_of(r.arrived.caller);
+    const std::size_t callers = waiting.callers() + (own == 0 ? 1 : 0);
+    if (own < config::max_queued_requests / callers) {
+        if (auto* last = find_open(c, waiting.last_of_largest())) {
+            refuse(c, *last, result_code::caller_over_share,
+                   "the queue is full and others have waited less; send fewer at a time");
+        }
+        return std::nullopt;
+    }
+    if (callers > 1) {
+        return refusal{result_code::caller_over_share,
+                       "the queue is full and holds this caller's share; send fewer at a time"};
+    }
+    return refusal{result_code::queue_full, "the queue is full; try again later"};
+}
+
+std::optional<refusal> check_deadline(const context& c, const service_state& service,
+                                      const open_request& r)
+{
+    const auto& pool = service.runners;
+    const bool free = service.waiting.empty() && pool.total_in_flight() < pool.slots();
+    millis wait;
+    if (!free) {
+        const auto ahead = static_cast<std::int64_t>(
+            service.waiting.count_ahead(r.arrived.caller, r.arrived.deadline));
+        constexpr std::int64_t us_per_ms{1'000};
+        const std::int64_t slots = std::max<std::int64_t>(1, pool.slots());
+        wait = {service.time.mean_us(c.now) * (ahead + 1) / slots / us_per_ms};
+    }
+    if (!is_unreachable(c, service, r.arrived.deadline, wait, !free)) {
+        return std::nullopt;
+    }
+    return refusal{result_code::deadline_unreachable,
+                   "the queue is too long for this deadline; try again later or allow more time"};
+}
+
+/// Overload spills only to an entry VM with less than half the demand, so that failure domains
+/// don't overload each other.
+bool try_overflow(context& c, open_request& r)
+{
+    const auto service = c.s.requests.services.find(r.arrived.service);
+    const auto target = service->second.spill.choose(mix_bits(r.arrived.handle.value), r.sent_to);
+    if (!target) {
+        return false;
+    }
+    const auto peer = c.s.membership.peers.find(*target);
+    return peer != c.s.membership.peers.end() &&
+           std::uint64_t{peer->second.last.waiting_requests} * 2 < c.s.requests.announced_demand &&
+           try_spill(c, r);
+}
+
+void serve_locally(context& c, open_request& r)
+{
+    auto& service = c.s.requests.services[r.arrived.service];
+    if (r.tries == 0) {
+        auto refused = check_deadline(c, service, r);
+        if (!refused) {
+            refused = check_queue(c, service, r);
+        }
+        if (refused) {
+            if (!try_overflow(c, r)) {
+                refuse(c, r, refused->code, refused->message);
+            }
+            return;
+        }
+    }
+    if (r.arrived.idempotent) {
+        enqueue(c, r);
+    }
+    else {
+        begin_claim(c, r);
+    }
+}
+
+} // namespace
+
+bool try_spill(context& c, open_request& r)
+{
+    const auto service = c.s.requests.services.find(r.arrived.service);
+    if (r.arrived.hops > 0 || r.spills >= config::max_spills ||
+        service == c.s.requests.services.end()) {
+        return false;
+    }
+    const auto target = service->second.spill.choose(mix_bits(r.arrived.handle.value), r.sent_to);
+    if (!target) {
+        return false;
+    }
+    c.s.counters.add("request_spilled");
+    ++r.spills;
+    send_dispatch(c, r, *target, true);
+    return true;
+}
+
+void enqueue(context& c, open_request& r)
+{
+    const service_id service = r.arrived.service;
+    r.phase = request_phase::queued;
+    set_wake(c, r, r.arrived.deadline);
+    c.s.requests.services[service].waiting.push(
+        {r.arrived.caller, r.arrived.deadline, r.arrived.handle});
+    pump(c, service);
+}
+
+void route(context& c, open_request& r)
+{
+    if (may_hold_claim(r)) {
+        // Only this entry VM may run it under its claim.
+        if (c.s.requests.routes.runners.contains(r.arrived.service)) {
+            enqueue(c, r);
+        }
+        else {
+            refuse_without_runner(c, r);
+        }
+        return;
+    }
+    const bool local = has_local_slots(c, r.arrived.service);
+    const bool out = !c.s.configuration.current.is_in_service(c.s.self.failure_domain);
+    if ((out || !local) && try_spill(c, r)) {
+        return;
+    }
+    if (!local) {
+        refuse_without_runner(c, r);
+        return;
+    }
+    serve_locally(c, r);
+}
+
+} // namespace cuminmoor::requests
--- /dev/null
+++ b/src/requests_dispatch.cpp
@@ -0,0 +1,242 @@
+/// \file
+/// From the queue to a runner and back: dispatches, their ends, retries.
+#include <algorithm>
+
+#include "requests_internal.h"
+#include "stable_hash.h"
+
+namespace cuminmoor::requests {
+
+namespace {
+
+/// Requests whose deadline is this many times the usual service time away are urgent.
+constexpr std::int64_t urgent_service_times{2};
+/// With a free slot, even an unlikely deadline is tried: it costs nobody anything, and keeps the
+/// estimate alive.
+constexpr std::int64_t uncontended_divisor{4};
+constexpr std::uint32_t max_backoff_doublings{10};
+
+backend_pool& pool_of(context& c, const open_request& r)
+{
+    auto& service = c.s.requests.services[r.arrived.service];
+    return r.to_entry_vm ? service.spill : service.runners;
+}
+
+void back_off(context& c, const open_request& r)
+{
+    auto& pool = pool_of(c, r);
+    const auto doublings = std::min(pool.failures(r.sent_to), max_backoff_doublings);
+    const std::int64_t pause = std::min(config::backend_backoff_base.count << doublings,
+                                        config::backend_backoff_cap.count);
+    const auto spread = static_cast<std::int64_t>(jitter(c.s, static_cast<std::uint64_t>(pause)));
+    pool.back_off(r.sent_to, c.now + millis{pause / 2 + spread / 2});
+}
+
+void hold_slot(context& c, const open_request& r)
+{
+    c.s.requests.held_slots.push_back({.release_at = c.now + config::lost_slot_hold,
+                                       .service = r.arrived.service,
+                                       .to_entry_vm = r.to_entry_vm,
+                                       .backend_server = r.sent_to});
+}
+
+/// Ends a dispatch that nobody waits for any more.
+void end_unheard(context& c, open_request& r, bool lost)
+{
+    if (lost && r.claim) {
+        settle_claim(c, r, claim_goal::mark_unknown);
+    }
+    else if (r.claim) {
+        settle_claim(c, r, claim_goal::release);
+    }
+    else {
+        close(c, r.arrived.handle);
+    }
+}
+
+/// A dispatch ended without an answer and may be tried again.
+/// \param reason part of the counter's name.
+void retry(context& c, open_request& r, const std::string& reason)
+{
+    auto& budget = c.s.requests.services[r.arrived.service].retries;
+    r.phase = request_phase::queued;
+    if (r.arrived.deadline <= c.now) {
+        refuse(c, r, result_code::not_run_after_retries, "no time is left for a retry");
+    }
+    else if (r.tries >= config::max_dispatches) {
+        refuse(c, r, result_code::not_run_after_retries,
+               "not run in " + std::to_string(r.tries) + " attempts; try again later");
+    }
+    else if (!budget.spend()) {
+        refuse(c, r, result_code::retry_budget_exhausted, "too many retries; try again later");
+    }
+    else {
+        c.s.counters.add("request_retry_" + reason);
+        route(c, r);
+    }
+}
+
+void on_not_run(context& c, open_request& r, const std::string& reason)
+{
+    c.s.counters.add("dispatch_" + reason);
+    pool_of(c, r).release(r.sent_to);
+    back_off(c, r);
+    if (r.answered) {
+        end_unheard(c, r, false);
+    }
+    else {
+        retry(c, r, reason);
+    }
+}
+
+void on_lost(context& c, open_request& r)
+{
+    c.s.counters.add("dispatch_lost");
+    hold_slot(c, r);
+    back_off(c, r);
+    r.may_have_run = true;
+    if (r.answered) {
+        end_unheard(c, r, true);
+    }
+    else if (r.arrived.idempotent) {
+        retry(c, r, "lost");
+    }
+    else {
+        finish_unknown(c, r, "sent, and no whole answer came; it may have run");
+    }
+}
+
+void on_answered(context& c, open_request& r, const dispatch_ended& d)
+{
+    auto& pool = pool_of(c, r);
+    pool.release(r.sent_to);
+    pool.mark_healthy(r.sent_to);
+    if (!r.to_entry_vm) {
+        c.s.requests.services[r.arrived.service].time.add_sample(c.now - r.sent_at, c.now);
+    }
+    finish_with_answer(c, r, d.status, d.body);
+}
+
+/// Dispatches or refuses one request that was taken from the queue.
+void dispatch_next(context& c, const service_state& service, open_request& r)
+{
+    if (is_unreachable(c, service, r.arrived.deadline, millis{}, !service.waiting.empty())) {
+        refuse(c, r, result_code::deadline_unreachable,
+               "too little time was left when a slot became free; allow more time");
+        return;
+    }
+    const std::uint64_t tie = mix_bits(r.arrived.handle.value ^ c.s.self.incarnation);
+    const auto runner = service.runners.choose(tie, r.sent_to);
+    if (r.tries == 0) {
+        c.s.requests.services[r.arrived.service].retries.earn();
+    }
+    send_dispatch(c, r, *runner, false);
+}
+
+} // namespace
+
+bool is_unreachable(const context& c, const service_state& service, instant deadline, millis wait,
+                    bool contended)
+{
+    const millis likely = service.time.likely(c.now);
+    return c.now + wait + (contended ? likely : likely / uncontended_divisor) >= deadline;
+}
+
+void pump(context& c, const service_id& service)
+{
+    const auto found = c.s.requests.services.find(service);
+    if (found == c.s.requests.services.end()) {
+        return;
+    }
+    auto& own = found->second;
+    const instant urgent_before = c.now + own.time.likely(c.now) * urgent_service_times;
+    while (own.runners.choose(0, {})) {
+        const auto handle = own.waiting.pop(urgent_before);
+        if (!handle) {
+            break;
+        }
+        dispatch_next(c, own, *find_open(c, *handle));
+    }
+}
+
+void send_dispatch(context& c, open_request& r, const vm_id& to, bool to_entry_vm)
+{
+    r.phase = request_phase::dispatched;
+    r.dispatch = dispatch_handle{c.s.requests.next_dispatch++};
+    r.sent_to = to;
+    r.to_entry_vm = to_entry_vm;
+    r.sent_at = c.now;
+    ++r.tries;
+    set_wake(c, r, r.arrived.deadline);
+    pool_of(c, r).take(to);
+    c.out.add(request_dispatch{.handle = r.arrived.handle,
+                               .dispatch = r.dispatch,
+                               .to = to,
+                               .to_entry_vm = to_entry_vm,
+                               .deadline = r.arrived.deadline,
+                               .caller = r.arrived.caller,
+                               .service = r.arrived.service,
+                               .id = r.arrived.id,
+                               .idempotent = r.arrived.idempotent,
+                               .hops = r.arrived.hops + (to_entry_vm ? 1U : 0U),
+                               .body = r.arrived.body},
+              r.arrived.deadline);
+}
+
+void on_dispatch_ended(context& c, const dispatch_ended& d)
+{
+    auto* r = find_open(c, d.handle);
+    if (r == nullptr || r->phase != request_phase::dispatched || r->dispatch != d.dispatch) {
+        c.s.counters.add("dispatch_ended_too_late");
+        return;
+    }
+    const service_id service = r->arrived.service;
+    switch (d.outcome) {
+    case dispatch_outcome::answered:
+        on_answered(c, *r, d);
+        break;
+    case dispatch_outcome::refused:
+        on_not_run(c, *r, "refused");
+        break;
+    case dispatch_outcome::not_sent:
+        on_not_run(c, *r, "not_sent");
+        break;
+    case dispatch_outcome::lost:
+        on_lost(c, *r);
+        break;
+    }
+    pump(c, service);
+}
+
+void on_dispatch_overdue(context& c, open_request& r)
+{
+    const instant last = r.arrived.deadline + config::dispatch_linger;
+    if (c.now < last) {
+        give_answer(c, r,
+                    {.handle = r.arrived.handle,
+                     .code = result_code::outcome_unknown,
+                     .status = 0,
+                     .body = nullptr,
+                     .message = "sent, and no answer came before the deadline; it may have run"});
+        set_wake(c, r, last);
+        return;
+    }
+    c.s.counters.add("dispatch_dropped");
+    c.out.add(request_drop_dispatch{r.dispatch});
+    hold_slot(c, r);
+    back_off(c, r);
+    finish_unknown(c, r, "sent, and no answer came; it may have run");
+}
+
+void release_held_slots(context& c)
+{
+    auto& held = c.s.requests.held_slots;
+    while (!held.empty() && held.front().release_at <= c.now) {
+        auto& service = c.s.requests.services[held.front().service];
+        auto& pool = held.front().to_entry_vm ? service.spill : service.runners;
+        pool.release(held.front().backend_server);
+        held.pop_front();
+    }
+}
+
+} // namespace cuminmoor::requests
--- /dev/null
+++ b/src/requests_routes.cpp
@@ -0,0 +1,226 @@
+/// \file
+/// What follows from the membership: runners, the share of their slots, where to spill to.
+#include <algorithm>
+
+#include "requests_internal.h"
+#include "slot_shares.h"
+
+namespace cuminmoor::requests {
+
+namespace {
+
+bool is_live(const context& c, const vm_entry& vm)
+{
+    return vm.phase == vm_phase::live && !c.s.membership.leaving.contains(vm.id);
+}
+
+void collect_from_list(context& c)
+{
+    auto& routes = c.s.requests.routes;
+    const auto& self = c.s.self;
+    routes.runners.clear();
+    routes.remote.clear();
+    routes.listed_entry_vms.clear();
+    for (const auto& [id, vm] : c.s.membership.vms) {
+        const bool own = vm.failure_domain == self.failure_domain;
+        if (vm.role == vm_role::runner && is_live(c, vm)) {
+            c.s.requests.services.try_emplace(vm.service);
+            own ? routes.runners[vm.service].push_back(id)
+                : (void)routes.remote[vm.service].insert(vm.failure_domain);
+        }
+        if (vm.role == vm_role::entry && own && vm.phase != vm_phase::gone) {
+            routes.listed_entry_vms.push_back(id);
+        }
+    }
+    routes.seen_any = true;
+    routes.seen_vms = c.s.membership.vms.size();
+    routes.seen_leaving = c.s.membership.leaving.size();
+}
+
+bool is_heard(const context& c, const peer_state& peer)
+{
+    return c.now - peer.heard_at <= config::peer_timeout;
+}
+
+/// Entry VMs heard lately, leaving ones included, as they still have requests in flight. When none
+/// is heard but some are listed, this one may be cut off: all that are listed count evenly.
+std::vector<slot_member> current_members(const context& c)
+{
+    const auto& own = c.s.requests;
+    std::map<vm_id, std::uint64_t> weights;
+    for (const auto& [id, peer] : c.s.membership.peers) {
+        if (peer.last.failure_domain == c.s.self.failure_domain && is_heard(c, peer)) {
+            weights[id] = config::demand_floor + peer.last.waiting_requests;
+        }
+    }
+    weights.erase(c.s.self.vm);
+    if (weights.empty()) {
+        for (const auto& id : own.routes.listed_entry_vms) {
+            weights[id] = 1;
+        }
+        weights[c.s.self.vm] = 1;
+    }
+    else {
+        weights[c.s.self.vm] = config::demand_floor + own.announced_demand;
+    }
+    std::vector<slot_member> members;
+    members.reserve(weights.size());
+    for (const auto& [id, weight] : weights) {
+        members.push_back({id, weight});
+    }
+    return members;
+}
+
+/// A slot that is new to this entry VM rests until its last owner knows of the change; one that is
+/// lost is given up at once.
+void update_slots(context& c, runner_slots& slots, slot_mask owned)
+{
+    const bool alone = c.s.requests.routes.members.size() == 1;
+    const instant usable = alone ? c.now : c.now + config::slot_handover;
+    for (std::size_t n = 0; n < slots.usable_at.size(); ++n) {
+        const slot_mask bit = slot_mask{1} << n;
+        if ((owned & bit) != 0 && (slots.owned & bit) == 0) {
+            slots.usable_at.at(n) = usable;
+        }
+        else if ((owned & bit) != 0 && alone) {
+            slots.usable_at.at(n) = std::min(slots.usable_at.at(n), c.now);
+        }
+    }
+    slots.owned = owned;
+}
+
+void share_out(context& c)
+{
+    auto& routes = c.s.requests.routes;
+    std::map<vm_id, runner_slots> before = std::move(routes.slots);
+    routes.slots.clear();
+    for (const auto& [service, runners] : routes.runners) {
+        for (const auto& [runner, owned] : share_slots(runners, routes.members, c.s.self.vm)) {
+            auto& slots = routes.slots[runner];
+            slots = before[runner];
+            slots.service = service;
+            update_slots(c, slots, owned);
+        }
+    }
+}
+
+std::int64_t count_usable(route_state& routes, const runner_slots& slots, instant now)
+{
+    std::int64_t usable = 0;
+    for (std::size_t n = 0; n < slots.usable_at.size(); ++n) {
+        if ((slots.owned & (slot_mask{1} << n)) == 0) {
+            continue;
+        }
+        const instant at = slots.usable_at.at(n);
+        if (at <= now) {
+            ++usable;
+        }
+        else {
+            routes.next_slot_change = std::min(routes.next_slot_change, at);
+        }
+    }
+    return usable;
+}
+
+void assign_runners(context& c)
+{
+    auto& routes = c.s.requests.routes;
+    routes.next_slot_change = never;
+    std::map<service_id, std::map<vm_id, std::int64_t>> allowed;
+    for (const auto& [runner, slots] : routes.slots) {
+        allowed[slots.service][runner] = count_usable(routes, slots, c.now);
+    }
+    for (auto& [id, service] : c.s.requests.services) {
+        service.runners.assign(allowed[id]);
+    }
+}
+
+bool takes_spills(const context& c, const peer_state& peer)
+{
+    const auto& m = c.s.membership;
+    const auto listed = m.vms.find(peer.last.from);
+    return peer.last.failure_domain != c.s.self.failure_domain && is_heard(c, peer) &&
+           !peer.last.leaving && !m.leaving.contains(peer.last.from) &&
+           (listed == m.vms.end() || listed->second.phase == vm_phase::live) &&
+           c.s.configuration.current.is_in_service(peer.last.failure_domain);
+}
+
+std::vector<spill_target> current_spill_targets(const context& c)
+{
+    std::vector<spill_target> targets;
+    for (const auto& [id, peer] : c.s.membership.peers) {
+        if (takes_spills(c, peer)) {
+            targets.push_back({id, peer.last.failure_domain});
+        }
+    }
+    return targets;
+}
+
+void assign_spills(context& c)
+{
+    const auto& routes = c.s.requests.routes;
+    for (auto& [id, service] : c.s.requests.services) {
+        std::map<vm_id, std::int64_t> allowed;
+        const auto remote = routes.remote.find(id);
+        for (const auto& target : routes.spill_targets) {
+            if (remote != routes.remote.end() && remote->second.contains(target.failure_domain)) {
+                allowed[target.id] = config::spills_in_flight_per_vm;
+            }
+        }
+        service.spill.assign(allowed);
+    }
+}
+
+/// The last runner of a service left while requests were waiting for it.
+void reroute_stranded(context& c)
+{
+    std::vector<traffic_handle> stranded;
+    for (auto& [id, service] : c.s.requests.services) {
+        if (c.s.requests.routes.runners.contains(id)) {
+            continue;
+        }
+        while (const auto handle = service.waiting.pop(c.now)) {
+            stranded.push_back(*handle);
+        }
+    }
+    for (const auto handle : stranded) {
+        if (auto* r = find_open(c, handle)) {
+            route(c, *r);
+        }
+    }
+}
+
+} // namespace
+
+void refresh_routes(context& c, bool list_read, bool full)
+{
+    auto& routes = c.s.requests.routes;
+    const bool listed = list_read || !routes.seen_any ||
+                        routes.seen_vms != c.s.membership.vms.size() ||
+                        routes.seen_leaving != c.s.membership.leaving.size();
+    if (!listed && !full) {
+        return;
+    }
+    if (listed) {
+        collect_from_list(c);
+    }
+    auto members = current_members(c);
+    const bool shared = listed || members != routes.members;
+    if (shared) {
+        routes.members = std::move(members);
+        share_out(c);
+    }
+    if (shared || routes.next_slot_change <= c.now) {
+        assign_runners(c);
+    }
+    auto targets = current_spill_targets(c);
+    if (listed || targets != routes.spill_targets) {
+        routes.spill_targets = std::move(targets);
+        assign_spills(c);
+    }
+    if (listed) {
+        reroute_stranded(c);
+    }
+}
+
+} // namespace cuminmoor::requests
--- /dev/null
+++ b/src/stable_hash.h
@@ -0,0 +1,34 @@
+/// \file
+/// Hash with the same value in every process, for decisions that entry VMs take alike.
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace cuminmoor {
+
+/// SplitMix64's finalizer: spreads every bit of `z` over the whole word.
+constexpr std::uint64_t mix_bits(std::uint64_t z)
+{
+    z = (z ^ (z >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+    z = (z ^ (z >> 27U)) * 0x94d049bb133111ebULL;
+    return z ^ (z >> 31U);
+}
+
+/// \return one hash of two.
+constexpr std::uint64_t combine_hashes(std::uint64_t a, std::uint64_t b)
+{
+    return mix_bits(a ^ (b + 0x9e3779b97f4a7c15ULL + (a << 6U) + (a >> 2U)));
+}
+
+/// FNV-1a, 64 bits, mixed.
+constexpr std::uint64_t stable_hash(std::string_view text)
+{
+    std::uint64_t h = 0xcbf29ce484222325ULL;
+    for (const char ch : text) {
+        h = (h ^ static_cast<unsigned char>(ch)) * 0x100000001b3ULL;
+    }
+    return mix_bits(h);
+}
+
+} // namespace cuminmoor
