--- /dev/null
+++ b/src/scheduler_commit.cpp
@@ -0,0 +1,275 @@
+/// \file
+/// The one commit under way: group commit, renewal, hand-over, and resolving unknown outcomes.
+#include "absl/strings/str_cat.h"
+#include "scheduler_parts.h"
+
+namespace cuminmoor {
+
+namespace {
+
+std::string retry_counter(store_outcome outcome)
+{
+    return outcome == store_outcome::unknown ? "scheduler.commit_retry.unknown"
+                                             : "scheduler.commit_retry.unavailable";
+}
+
+void send_again(context& c)
+{
+    auto& p = *c.s.scheduler.pending;
+    p.token = c.s.scheduler.next_token++;
+    p.phase = commit_phase::in_flight;
+    ++p.tries;
+    c.out.add(store_commit{{store_user::scheduler, p.token}, p.body});
+}
+
+void start_read_back(context& c)
+{
+    auto& s = c.s.scheduler;
+    s.pending->phase = commit_phase::reading_back;
+    s.pending->token = s.next_token++;
+    c.out.add(store_read{
+        {store_user::lease, s.pending->token}, {lease_key(c.s.self.failure_domain)}, {}});
+}
+
+/// The pending commit certainly has no effect: everything in it is decided anew.
+void abandon(context& c, const char* reason)
+{
+    auto& s = c.s.scheduler;
+    c.s.counters.add(absl::StrCat("scheduler.commit_abandoned.", reason));
+    s.pending.reset();
+    if (s.lease.role == lease_role::acquiring) {
+        s.lease.role = lease_role::observer;
+        return;
+    }
+    s.inbox.rows.clear();
+    s.inbox.next_scan = c.now;
+    for (const auto& [id, worker] : s.workers) {
+        s.dirty_workers.insert(id);
+    }
+}
+
+void note_acquired(context& c)
+{
+    auto& s = c.s.scheduler;
+    s.lease.role = lease_role::holder;
+    s.recovered = false;
+    s.recovery = {};
+    c.s.counters.add("scheduler.lease_acquired");
+}
+
+void hasten_started(context& c, const std::vector<ledger_record>& records)
+{
+    for (const auto& record : records) {
+        if (const auto* const assigned = std::get_if<task_assigned>(&record)) {
+            hasten_sync(c, assigned->worker);
+        }
+    }
+}
+
+void succeed(context& c, row_version version)
+{
+    auto& s = c.s.scheduler;
+    const pending_commit done = *std::exchange(s.pending, std::nullopt);
+    s.store_failures = 0;
+    s.lease.seen = done.next;
+    s.lease.seen_version = version;
+    s.lease.valid_until = done.sent_at + config::lease_length;
+    s.lease.read_at = c.now;
+    if (s.lease.role == lease_role::acquiring) {
+        note_acquired(c);
+        return;
+    }
+    if (done.next.released) {
+        lose_lease(c, "handed_over");
+        return;
+    }
+    unmark_jobs(s, done.summarized);
+    if (!done.records.empty()) {
+        fold_records(c, s.book, done.records);
+        s.book.applied = done.next.last;
+        hasten_started(c, done.records);
+    }
+    if (done.takes_inbox_rows) {
+        ++s.inbox.generation;
+        s.inbox.rows.clear();
+        s.inbox.next_scan = c.now;
+    }
+    s.checkpoint.done = std::max(s.checkpoint.done, done.checkpoint);
+    s.checkpoint.trimmed = std::max(s.checkpoint.trimmed, done.trims_to);
+}
+
+void retry_later(context& c)
+{
+    auto& p = *c.s.scheduler.pending;
+    p.phase = commit_phase::backing_off;
+    p.retry_at = c.now + back_off(c, p.tries);
+}
+
+bool is_renewal_due(const context& c)
+{
+    const auto& s = c.s.scheduler;
+    return c.now >= s.lease.valid_until - config::lease_length + config::lease_renewal;
+}
+
+commit_draft make_draft(context& c)
+{
+    commit_draft d;
+    if (!c.s.scheduler.recovered || !is_lease_valid(c)) {
+        return d;
+    }
+    collect_evidence(c, d);
+    collect_inbox(c, d);
+    collect_drain(c, d);
+    collect_placement(c, d);
+    collect_summaries(c, d);
+    collect_checkpoint(c, d);
+    return d;
+}
+
+pending_commit make_commit(context& c, commit_draft d)
+{
+    pending_commit commit;
+    commit.next = c.s.scheduler.lease.seen;
+    commit.records = std::move(d.records);
+    commit.body = std::move(d.extra);
+    commit.takes_inbox_rows = d.takes_inbox_rows;
+    commit.checkpoint = d.checkpoint;
+    commit.trims_to = d.trims_to;
+    commit.summarized = std::move(d.summarized);
+    if (!commit.records.empty()) {
+        ++commit.next.last.value;
+        commit.body.writes.push_back(
+            {log_key(c.s.self.failure_domain, commit.next.last), encode_records(commit.records)});
+    }
+    if (d.assigns && c.s.scheduler.switches.config_precondition) {
+        commit.body.preconditions.push_back({config_head_key, c.s.configuration.head_row});
+    }
+    return commit;
+}
+
+void send_next(context& c)
+{
+    auto& s = c.s.scheduler;
+    if (s.lease.role != lease_role::holder || c.now < s.next_commit) {
+        return;
+    }
+    if (c.s.stopping) {
+        pending_commit commit = make_commit(c, {});
+        commit.next.released = true;
+        send_first(c, std::move(commit));
+        return;
+    }
+    commit_draft d = make_draft(c);
+    if (!d.is_empty() || is_renewal_due(c)) {
+        send_first(c, make_commit(c, std::move(d)));
+    }
+}
+
+/// A stopping process gives up a lease that has lapsed while the store is out of reach.
+bool has_lapsed_while_stopping(const context& c)
+{
+    return c.s.stopping && c.s.scheduler.lease.role != lease_role::observer &&
+           c.now >= c.s.scheduler.lease.valid_until && c.s.scheduler.store_failures > 0;
+}
+
+} // namespace
+
+millis back_off(context& c, std::uint32_t tries)
+{
+    const std::int64_t doubled = config::store_retry_base.count << std::min(tries, 10U);
+    const std::int64_t bound = std::min(doubled, config::store_retry_cap.count);
+    return {bound / 2 +
+            static_cast<std::int64_t>(jitter(c.s, static_cast<std::uint64_t>(bound / 2 + 1)))};
+}
+
+void send_first(context& c, pending_commit commit)
+{
+    auto& s = c.s.scheduler;
+    const std::string key = lease_key(c.s.self.failure_domain);
+    commit.next.written_by = next_nonce(c);
+    if (s.switches.fencing) {
+        commit.body.preconditions.push_back({key, s.lease.seen_version});
+    }
+    commit.body.writes.push_back({key, encode_lease(commit.next)});
+    commit.token = s.next_token++;
+    commit.sent_at = c.now;
+    s.next_commit = c.now + config::commit_period;
+    c.out.add(store_commit{{store_user::scheduler, commit.token}, commit.body});
+    s.pending = std::move(commit);
+}
+
+void drive_commit(context& c)
+{
+    auto& s = c.s.scheduler;
+    if (has_lapsed_while_stopping(c)) {
+        lose_lease(c, "lapsed_while_stopping");
+        return;
+    }
+    if (!s.pending) {
+        send_next(c);
+        return;
+    }
+    if (s.pending->phase != commit_phase::backing_off || c.now < s.pending->retry_at) {
+        return;
+    }
+    send_again(c);
+}
+
+void on_commit_answer(context& c, const store_committed& e)
+{
+    auto& s = c.s.scheduler;
+    if (!s.pending || e.token.number != s.pending->token) {
+        return;
+    }
+    if (e.outcome == store_outcome::ok) {
+        succeed(c, e.revision);
+        return;
+    }
+    if (e.outcome == store_outcome::conflict) {
+        start_read_back(c);
+        return;
+    }
+    c.s.counters.add(retry_counter(e.outcome));
+    s.next_commit = c.now + back_off(c, s.store_failures++);
+    if (e.outcome == store_outcome::unknown && s.switches.read_back) {
+        s.pending->maybe_applied = true;
+    }
+    if (!s.pending->maybe_applied) {
+        abandon(c, "not_applied");
+        return;
+    }
+    retry_later(c);
+}
+
+void on_read_back(context& c, const store_read_done& e)
+{
+    auto& s = c.s.scheduler;
+    if (!s.pending || s.pending->phase != commit_phase::reading_back ||
+        e.token.number != s.pending->token) {
+        return;
+    }
+    if (!e.ok) {
+        c.s.counters.add("scheduler.commit_retry.read_back_failed");
+        retry_later(c);
+        return;
+    }
+    if (e.rows.empty()) {
+        lose_lease(c, "row_missing");
+        return;
+    }
+    const auto& found = e.rows.front();
+    const auto row = decode_lease(found.value);
+    if (row.ok() && row->written_by == s.pending->next.written_by) {
+        c.s.counters.add("scheduler.commit_found_by_read_back");
+        succeed(c, found.version);
+    }
+    else if (found.version == s.lease.seen_version) {
+        c.s.configuration.next_poll = c.now;
+        abandon(c, "precondition");
+    }
+    else {
+        lose_lease(c, "fenced_off");
+    }
+}
+
+} // namespace cuminmoor
--- /dev/null
+++ b/src/scheduler_lease.cpp
@@ -0,0 +1,130 @@
+/// \file
+/// Observing, taking and losing the scheduler lease of the own failure domain.
+#include "absl/strings/str_cat.h"
+#include "scheduler_parts.h"
+
+namespace cuminmoor {
+
+instant lease_decision_end(const scheduler_state& s)
+{
+    return s.lease.valid_until - config::lease_margin;
+}
+
+bool is_lease_valid(const context& c)
+{
+    const auto& s = c.s.scheduler;
+    if (s.lease.role != lease_role::holder) {
+        return false;
+    }
+    return !s.switches.lease_validity || c.now < lease_decision_end(s);
+}
+
+nonce next_nonce(context& c)
+{
+    return {absl::StrCat(c.s.self.vm.value, "-", c.s.self.incarnation, "-",
+                         c.s.scheduler.next_nonce++)};
+}
+
+void poll_lease(context& c)
+{
+    auto& lease = c.s.scheduler.lease;
+    if (lease.role != lease_role::observer || lease.read_token != 0 || c.now < lease.next_poll) {
+        return;
+    }
+    lease.read_token = c.s.scheduler.next_token++;
+    c.out.add(store_read{
+        {store_user::lease, lease.read_token}, {lease_key(c.s.self.failure_domain)}, {}});
+}
+
+namespace {
+
+void schedule_poll(context& c)
+{
+    const auto period = config::lease_renewal.count;
+    const auto extra = static_cast<std::int64_t>(jitter(c.s, config::lease_renewal.count / 2));
+    c.s.scheduler.lease.next_poll = c.now + millis{period * 3 / 4 + extra};
+}
+
+/// Notes the row. It counts as unchanged from the moment of the answer that first showed it: its
+/// writer's term began earlier.
+void observe(context& c, const store_read_done& e)
+{
+    auto& lease = c.s.scheduler.lease;
+    lease.read_at = c.now;
+    const row_version version = e.rows.empty() ? 0 : e.rows.front().version;
+    if (lease.has_read && version == lease.seen_version) {
+        return;
+    }
+    lease_row seen;
+    if (!e.rows.empty()) {
+        const auto decoded = decode_lease(e.rows.front().value);
+        if (!decoded.ok()) {
+            c.s.counters.add("scheduler.lease_row_malformed");
+            return;
+        }
+        seen = *decoded;
+    }
+    lease.has_read = true;
+    lease.seen = seen;
+    lease.seen_version = version;
+    lease.unchanged_since = c.now;
+}
+
+bool is_free(const context& c)
+{
+    const auto& lease = c.s.scheduler.lease;
+    return lease.seen_version == 0 || lease.seen.released ||
+           c.now - lease.unchanged_since >= config::lease_length;
+}
+
+} // namespace
+
+void on_lease_read(context& c, const store_read_done& e)
+{
+    auto& lease = c.s.scheduler.lease;
+    if (lease.role != lease_role::observer || e.token.number != lease.read_token) {
+        return;
+    }
+    lease.read_token = 0;
+    schedule_poll(c);
+    if (!e.ok) {
+        c.s.counters.add("scheduler.lease_read_failed");
+        return;
+    }
+    observe(c, e);
+    consider_take_over(c);
+}
+
+void consider_take_over(context& c)
+{
+    auto& s = c.s.scheduler;
+    if (c.s.stopping || !s.lease.has_read || s.pending || !is_free(c)) {
+        return;
+    }
+    s.lease.role = lease_role::acquiring;
+    pending_commit commit;
+    commit.next = s.lease.seen;
+    commit.next.holder = c.s.self.vm;
+    ++commit.next.epoch.value;
+    commit.next.released = false;
+    c.s.counters.add("scheduler.lease_attempt");
+    send_first(c, std::move(commit));
+}
+
+void lose_lease(context& c, const char* reason)
+{
+    c.s.counters.add(absl::StrCat("scheduler.lease_ended.", reason));
+    scheduler_state fresh;
+    auto& old = c.s.scheduler;
+    fresh.switches = old.switches;
+    fresh.next_token = old.next_token;
+    fresh.next_nonce = old.next_nonce;
+    fresh.next_move = old.next_move;
+    fresh.lease.read_at = old.lease.read_at;
+    fresh.lease.next_poll =
+        c.now + millis{static_cast<std::int64_t>(jitter(c.s, config::lease_renewal.count))};
+    old = std::move(fresh);
+    refresh_workers(c);
+}
+
+} // namespace cuminmoor
--- /dev/null
+++ b/src/scheduler_workers.cpp
@@ -0,0 +1,252 @@
+/// \file
+/// Exchanges with the workers of the own failure domain.
+///
+/// Orders are derived from the committed ledger and the last report each time, so that nothing has
+/// to be remembered between exchanges and a repeated order is harmless.
+#include "scheduler_parts.h"
+
+namespace cuminmoor {
+
+namespace {
+
+bool is_own_worker(const context& c, const vm_entry& vm)
+{
+    return vm.role == vm_role::worker && vm.failure_domain == c.s.self.failure_domain &&
+           vm.phase != vm_phase::gone;
+}
+
+millis jittered_period(context& c, millis period)
+{
+    const std::int64_t half = period.count / 2;
+    return {period.count - half / 2 +
+            static_cast<std::int64_t>(jitter(c.s, static_cast<std::uint64_t>(half)))};
+}
+
+bool is_reported(const worker_report& report, const task_id& id, std::uint32_t attempt)
+{
+    for (const auto& t : report.tasks) {
+        if (t.task == id && t.attempt == attempt) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// One exchange and until when it may be sent.
+struct planned_sync {
+    worker_sync body;
+    instant not_after{never};
+};
+
+void plan_start(const context& c, planned_sync& plan, const task_id& id, const assignment& a,
+                const worker_state& w)
+{
+    const auto& s = c.s.scheduler;
+    if (a.stopping || is_reported(w.last, id, a.attempt) || a.incarnation != w.last.incarnation) {
+        return;
+    }
+    // The worker's clock, moved by a duration of ours, gives the deadline on our clock.
+    const instant deadline = w.received_at + millis{a.start_before.ms - w.last.clock.ms};
+    if (s.switches.start_validity) {
+        if (c.now >= deadline) {
+            return;
+        }
+        plan.not_after = std::min(plan.not_after, deadline);
+    }
+    const auto job = s.book.jobs.find(id.job);
+    const auto* const task = find_task(s.book, id);
+    start_order order{
+        id, a.attempt, a.size, task->checkpoint, a.start_before, job->second.spec.command};
+    if (!s.switches.start_validity) {
+        order.start_before = {INT64_MAX / 4};
+    }
+    plan.body.orders.emplace_back(std::move(order));
+}
+
+void plan_starts(const context& c, planned_sync& plan, const worker_state& w)
+{
+    const auto& book = c.s.scheduler.book;
+    const auto tasks = book.on_worker.find(plan.body.worker);
+    if (tasks == book.on_worker.end()) {
+        return;
+    }
+    for (const auto& id : tasks->second) {
+        const auto* const task = find_task(book, id);
+        if (task != nullptr && task->where) {
+            plan_start(c, plan, id, *task->where, w);
+        }
+    }
+}
+
+/// Stops and acknowledges what the worker reports and the ledger has ended or never knew.
+void plan_ends(const context& c, planned_sync& plan, const worker_state& w)
+{
+    const auto& book = c.s.scheduler.book;
+    for (const auto& t : w.last.tasks) {
+        const auto* const a = find_assignment(book, t.task, t.attempt, plan.body.worker);
+        if (t.status == task_status::running) {
+            if (a == nullptr || a->stopping) {
+                const bool keep = a != nullptr && a->stop_cause != release_cause::cancelled;
+                plan.body.orders.emplace_back(stop_order{t.task, t.attempt, keep});
+            }
+        }
+        else if (a == nullptr) {
+            plan.body.orders.emplace_back(acknowledge_order{t.task, t.attempt});
+        }
+    }
+}
+
+/// \return true when orders may be derived from the ledger now.
+bool may_order(const context& c)
+{
+    return c.s.scheduler.recovered && is_lease_valid(c);
+}
+
+void send_sync(context& c, const vm_id& id, worker_state& w)
+{
+    planned_sync plan;
+    plan.body.worker = id;
+    plan.body.renew_for = config::task_lease;
+    if (may_order(c) && w.has_report) {
+        plan.body.incarnation = w.last.incarnation;
+        plan.not_after = lease_decision_end(c.s.scheduler);
+        plan_starts(c, plan, w);
+        plan_ends(c, plan, w);
+        if (plan.body.orders.empty() || !c.s.scheduler.switches.lease_validity) {
+            plan.not_after = never;
+        }
+    }
+    w.sync_in_flight = true;
+    w.sync_asked_at = c.now;
+    c.out.add(std::move(plan.body), plan.not_after);
+}
+
+/// \return true when this process keeps the workers' leases alive.
+bool is_keeper(const context& c)
+{
+    const auto& lease = c.s.scheduler.lease;
+    if (c.s.stopping) {
+        return lease.role == lease_role::holder;
+    }
+    // With the store out of reach for long, the holder may be dead and nobody able to follow it.
+    return lease.role == lease_role::holder ||
+           c.now - lease.read_at >= config::observer_keep_alive_after;
+}
+
+millis sync_period(const context& c)
+{
+    return c.s.scheduler.lease.role == lease_role::holder ? config::worker_sync_period
+                                                          : config::observer_keep_alive_period;
+}
+
+void note_stray(const context& c, const vm_id& id, worker_state& w)
+{
+    w.has_stray = false;
+    for (const auto& t : w.last.tasks) {
+        if (t.status == task_status::running &&
+            find_assignment(c.s.scheduler.book, t.task, t.attempt, id) == nullptr) {
+            w.has_stray = true;
+        }
+    }
+}
+
+void note_checkpoints(const context& c, const vm_id& id, worker_state& w)
+{
+    std::map<task_id, std::string> kept;
+    for (auto& [task, checkpoint] : w.checkpoints) {
+        const auto* const entry = find_task(c.s.scheduler.book, task);
+        if (entry != nullptr && entry->where && entry->where->worker == id) {
+            kept.emplace(task, std::move(checkpoint));
+        }
+    }
+    for (const auto& t : w.last.tasks) {
+        if (!t.checkpoint.empty() &&
+            find_assignment(c.s.scheduler.book, t.task, t.attempt, id) != nullptr) {
+            kept.insert_or_assign(t.task, t.checkpoint);
+        }
+    }
+    w.checkpoints = std::move(kept);
+}
+
+} // namespace
+
+void refresh_workers(context& c)
+{
+    auto& s = c.s.scheduler;
+    for (auto& [id, w] : s.workers) {
+        w.listed = false;
+        w.may_start = false;
+    }
+    for (const auto& [id, vm] : c.s.membership.vms) {
+        if (!is_own_worker(c, vm)) {
+            continue;
+        }
+        const auto [at, added] = s.workers.try_emplace(id);
+        at->second.listed = true;
+        at->second.may_start = vm.phase == vm_phase::live && !c.s.membership.leaving.contains(id);
+        if (added) {
+            at->second.next_sync = c.now + millis{static_cast<std::int64_t>(jitter(c.s, 200))};
+        }
+    }
+    std::erase_if(s.workers, [&s](const auto& entry) {
+        return !entry.second.listed && !s.book.on_worker.contains(entry.first);
+    });
+}
+
+void sync_workers(context& c)
+{
+    if (!is_keeper(c)) {
+        return;
+    }
+    for (auto& [id, w] : c.s.scheduler.workers) {
+        if (w.sync_in_flight && c.now - w.sync_asked_at >= config::worker_sync_timeout) {
+            c.s.counters.add("scheduler.worker_sync_lost");
+            w.sync_in_flight = false;
+        }
+        if (w.listed && !w.sync_in_flight && c.now >= w.next_sync) {
+            send_sync(c, id, w);
+        }
+    }
+}
+
+void on_worker_synced(context& c, const worker_synced& e)
+{
+    auto& s = c.s.scheduler;
+    const auto at = s.workers.find(e.worker);
+    if (at == s.workers.end()) {
+        return;
+    }
+    auto& w = at->second;
+    w.sync_in_flight = false;
+    w.next_sync = w.wants_sync ? c.now : c.now + jittered_period(c, sync_period(c));
+    w.wants_sync = false;
+    if (!e.ok) {
+        ++w.failed_syncs;
+        c.s.counters.add("scheduler.worker_sync_failed");
+        return;
+    }
+    if (w.has_report && e.sent_at < w.sent_at) {
+        c.s.counters.add("scheduler.worker_report_stale");
+        return;
+    }
+    w.failed_syncs = 0;
+    w.has_report = true;
+    w.sent_at = e.sent_at;
+    w.received_at = c.now;
+    w.last = e.report;
+    note_stray(c, e.worker, w);
+    note_checkpoints(c, e.worker, w);
+    s.dirty_workers.insert(e.worker);
+}
+
+void hasten_sync(context& c, const vm_id& worker)
+{
+    const auto at = c.s.scheduler.workers.find(worker);
+    if (at == c.s.scheduler.workers.end()) {
+        return;
+    }
+    at->second.next_sync = c.now;
+    at->second.wants_sync = at->second.sync_in_flight;
+}
+
+} // namespace cuminmoor
