--- a/include/cuminmoor/lease.h
+++ b/include/cuminmoor/lease.h
@@ -7,6 +7,7 @@
 /// when the row has not changed for `config::lease_length` on the observer's own clock.
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include "absl/status/statusor.h"
@@ -40,6 +41,11 @@
     /// When `seen_version` was first seen by this process.
     instant unchanged_since;
     bool has_read{false};
+    /// When the row was last read with success.
+    instant read_at;
+    instant next_poll;
+    /// Number of the token of the read under way; 0: none.
+    std::uint64_t read_token{0};
     /// Holder only: the lease ends here, counted from before its renewal was sent.
     instant valid_until;
 };
--- a/include/cuminmoor/worker.h
+++ b/include/cuminmoor/worker.h
@@ -88,6 +88,8 @@
 /// Effect: one exchange with a worker.
 struct worker_sync {
     vm_id worker;
+    /// The worker ignores `orders` when it is another incarnation; empty: any.
+    std::string incarnation;
     millis renew_for;
     std::vector<worker_order> orders;
 };
