--- a/tests/scenario/checker.cpp
+++ b/tests/scenario/checker.cpp
@@ -209,6 +209,16 @@
     return n;
 }
 
+std::uint32_t checker::cancelled(const job_id& job) const
+{
+    std::uint32_t n = 0;
+    for (const auto& [fd, book] : ledgers_) {
+        const auto found = book.jobs.find(job);
+        n += found == book.jobs.end() ? 0 : found->second.totals.in(task_phase::cancelled);
+    }
+    return n;
+}
+
 std::uint64_t checker::starts_in(const failure_domain_id& fd) const
 {
     const auto found = starts_.find(fd);
--- a/tests/scenario/checker.h
+++ b/tests/scenario/checker.h
@@ -47,6 +47,8 @@
     [[nodiscard]] const std::string& violation() const { return violation_; }
     [[nodiscard]] const std::map<failure_domain_id, ledger>& ledgers() const { return ledgers_; }
     [[nodiscard]] std::uint32_t ended(const job_id& job, task_phase phase) const;
+    /// \return the job's cancelled tasks, all failure domains together.
+    [[nodiscard]] std::uint32_t cancelled(const job_id& job) const;
     [[nodiscard]] std::uint64_t starts_in(const failure_domain_id& fd) const;
     /// Longest times seen, for the budgets.
     [[nodiscard]] millis longest_start_after_out() const { return longest_after_out_; }
--- a/tests/scenario/world.cpp
+++ b/tests/scenario/world.cpp
@@ -214,6 +214,8 @@
     call c = store_call(vms.at(name));
     const instant sent = local(vms.at(name));
     c.on_timeout = store_read_done{f.token, false, sent, {}};
+    c.lost_there = c.lost_there ||
+                   (vms.at(name).cut_configuration && f.token.user == store_user::configuration);
     c.process = [this, f, sent]() -> event {
         const bool up = fault != store_fault::down;
         return store_read_done{f.token, up, sent, up ? table.read(f) : std::vector<row>{}};
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -36,6 +36,8 @@
     bool cut_store{false};
     bool cut_peers{false};
     bool cut_workers{false};
+    /// Only its reads of the configuration are lost.
+    bool cut_configuration{false};
     millis clock_offset;
     /// Arrived or decided while frozen.
     std::deque<event> held_events;
--- a/tests/scenario/world_faults.cpp
+++ b/tests/scenario/world_faults.cpp
@@ -179,7 +179,7 @@
         worker.fails_everything = false;
     }
     for (auto& [name, vm] : vms) {
-        vm.cut_store = vm.cut_peers = vm.cut_workers = false;
+        vm.cut_store = vm.cut_peers = vm.cut_workers = vm.cut_configuration = false;
         thaw(name);
     }
 }
