Commands: configuration changes, jobs, audit, views; tests of racing operators

Cause: operators and job owners need answers that stay true under races and lost answers. A change is a compare-and-set of the head row; an unknown outcome is sent again unchanged and a conflict then read back by nonce. Ruled out: reading back at once after an unknown outcome, since a write still under way could take effect after the read.

--- a/include/cuminmoor/commands.h
+++ b/include/cuminmoor/commands.h
@@ -4,27 +4,50 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <vector>
 
 #include "cuminmoor/clock.h"
 #include "cuminmoor/command.h"
 #include "cuminmoor/ids.h"
+#include "cuminmoor/store.h"
 
 namespace cuminmoor {
 
+enum class command_stage : std::uint8_t {
+    /// Goes on at `next_try`.
+    ready,
+    committing,
+    /// Reads what it needs for its answer or its write.
+    reading,
+    /// Reads whether its own write took effect.
+    reading_back,
+};
+
 /// A command between its arrival and its answer.
 struct open_command {
     command_arrived arrived;
     instant started_at;
-    std::uint32_t tries{0};
-    /// Nonce in the rows that this command writes.
+    command_stage stage{command_stage::ready};
+    instant next_try;
+    /// Number of the store token that it waits for.
+    std::uint64_t token{0};
+    /// Stands in the rows that it writes.
     nonce written_by;
-    /// Version that a configuration change is to lead to.
+    /// Kept whole, so that after an unknown outcome exactly the same can be sent again.
+    std::optional<transaction> sent;
+    /// An outcome of `sent` was unknown: it may have taken effect.
+    bool is_maybe_applied{false};
+    /// Version that a configuration change leads to.
     config_version target;
+    /// Jobs that the command is about, once they are known.
+    std::vector<job_id> jobs;
 };
 
 struct command_state {
-    /// By number of the store token that the command waits for.
-    std::map<std::uint64_t, open_command> waiting;
+    std::map<traffic_handle, open_command> open;
+    /// Who waits for which store token.
+    std::map<std::uint64_t, traffic_handle> waiting;
     std::uint64_t next_token{1};
 };
 
--- /dev/null
+++ b/src/commands_jobs.cpp
@@ -0,0 +1,254 @@
+/// \file
+/// Reading and cancelling jobs.
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+
+#include "commands_internal.h"
+#include "cuminmoor/config.h"
+#include "cuminmoor/json_reader.h"
+#include "job_registration.h"
+
+namespace cuminmoor {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t max_summaries_per_job = 64;
+
+/// What the store holds of one job.
+struct stored_job {
+    std::optional<job_registration> registration;
+    std::vector<job_summary> summaries;
+};
+
+/// Reads registrations and summaries of `jobs`.
+store_read read_of(const std::vector<job_id>& jobs)
+{
+    store_read read;
+    for (const auto& job : jobs) {
+        read.keys.push_back(registration_key(job));
+        read.ranges.push_back({job_summary_prefix(job), "", max_summaries_per_job});
+    }
+    return read;
+}
+
+std::map<job_id, stored_job> sort_rows(const std::vector<row>& rows)
+{
+    std::map<job_id, stored_job> jobs;
+    const std::string registrations = registration_prefix("");
+    for (const row& r : rows) {
+        if (r.key.starts_with(registrations)) {
+            if (auto decoded = decode_registration(r.value); decoded.ok()) {
+                jobs[decoded->submission.spec.id].registration = *std::move(decoded);
+            }
+        }
+        else if (auto decoded = decode_job_summary(r.value); decoded.ok()) {
+            jobs[decoded->job].summaries.push_back(*std::move(decoded));
+        }
+    }
+    return jobs;
+}
+
+/// The phases that people see, with the names they see them by.
+constexpr std::array shown_phases{
+    std::pair{task_phase::waiting, "waiting"},     std::pair{task_phase::assigned, "assigned"},
+    std::pair{task_phase::finished, "finished"},   std::pair{task_phase::failed, "failed"},
+    std::pair{task_phase::cancelled, "cancelled"},
+};
+
+json totals_to_json(const task_totals& t)
+{
+    json view = json::object();
+    for (const auto& [phase, name] : shown_phases) {
+        view[name] = t.in(phase);
+    }
+    return view;
+}
+
+void add_totals(task_totals& sum, const task_totals& t)
+{
+    for (const auto& [phase, name] : shown_phases) {
+        sum.in(phase) += t.in(phase);
+    }
+}
+
+/// "submitted" until a scheduler took it in, "running", or how it ended.
+const char* phase_name(const job_spec& spec, const task_totals& sum, bool is_cancelled)
+{
+    const auto failed = sum.in(task_phase::failed);
+    const auto cancelled = sum.in(task_phase::cancelled);
+    const auto ended = sum.in(task_phase::finished) + failed + cancelled;
+    const auto open = sum.in(task_phase::waiting) + sum.in(task_phase::assigned);
+    if (ended < spec.tasks) {
+        return open + ended == 0 ? "submitted" : "running";
+    }
+    if (failed > 0) {
+        return "failed";
+    }
+    return is_cancelled && cancelled > 0 ? "cancelled" : "finished";
+}
+
+json job_view(const stored_job& job)
+{
+    const auto& spec = job.registration->submission.spec;
+    task_totals sum;
+    bool is_cancelled = false;
+    std::uint64_t evictions = 0;
+    json pieces = json::array();
+    for (const auto& s : job.summaries) {
+        add_totals(sum, s.totals);
+        is_cancelled = is_cancelled || s.cancelled;
+        evictions += s.evictions;
+        pieces.push_back(
+            {{"failure_domain", s.failure_domain.value}, {"tasks", totals_to_json(s.totals)}});
+    }
+    return {{"id", spec.id.value},
+            {"team", spec.team.value},
+            {"owner", spec.owner.value},
+            {"phase", phase_name(spec, sum, is_cancelled)},
+            {"declared_tasks", spec.tasks},
+            {"tasks", totals_to_json(sum)},
+            {"evictions", evictions},
+            {"submitted_at_s", job.registration->submission.submitted_at_s},
+            {"failure_domains", std::move(pieces)}};
+}
+
+json jobs_view(const std::map<job_id, stored_job>& jobs)
+{
+    json list = json::array();
+    for (const auto& [id, job] : jobs) {
+        if (job.registration) {
+            list.push_back(job_view(job));
+        }
+    }
+    return list;
+}
+
+// A cancelled job may have tasks on their way between failure domains, so every one that ever had a
+// part of it is told.
+std::set<failure_domain_id> domains_of(const context& c, const stored_job& job)
+{
+    std::set<failure_domain_id> domains{job.registration->failure_domain};
+    for (const auto& s : job.summaries) {
+        domains.insert(s.failure_domain);
+        if (s.totals.in(task_phase::moved) > 0) {
+            return known_failure_domains(c.s.membership);
+        }
+    }
+    return domains;
+}
+
+transaction make_cancellation(const context& c, const open_command& cmd,
+                              const std::map<job_id, stored_job>& jobs)
+{
+    transaction body;
+    for (const auto& [id, job] : jobs) {
+        if (!job.registration) {
+            continue;
+        }
+        for (const auto& fd : domains_of(c, job)) {
+            body.writes.push_back(
+                {inbox_cancel_key(fd, id), encode_inbox_cancel({id, cmd.written_by})});
+        }
+    }
+    return body;
+}
+
+json names_of(const std::vector<job_id>& jobs)
+{
+    json names = json::array();
+    for (const auto& job : jobs) {
+        names.push_back(job.value);
+    }
+    return names;
+}
+
+} // namespace
+
+void resume_cancel(context& c, open_command& cmd)
+{
+    const auto& jobs = std::get<cancel_jobs>(cmd.arrived.body).jobs;
+    send_read(c, cmd, read_of(jobs), command_stage::reading);
+}
+
+void on_cancel_read(context& c, open_command& cmd, const std::vector<row>& rows)
+{
+    const auto jobs = sort_rows(rows);
+    cmd.jobs.clear();
+    for (const auto& [id, job] : jobs) {
+        if (job.registration) {
+            cmd.jobs.push_back(id);
+        }
+    }
+    if (cmd.jobs.empty()) {
+        answer_error(c, cmd, result_code::unknown_job, "none of the named jobs is known");
+        return;
+    }
+    send_commit(c, cmd, make_cancellation(c, cmd, jobs));
+}
+
+void on_cancel_committed(context& c, open_command& cmd, const store_committed& done)
+{
+    if (done.outcome != store_outcome::ok) {
+        retry_later(c, cmd);
+        return;
+    }
+    std::vector<job_id> unknown;
+    for (const auto& job : std::get<cancel_jobs>(cmd.arrived.body).jobs) {
+        if (std::find(cmd.jobs.begin(), cmd.jobs.end(), job) == cmd.jobs.end()) {
+            unknown.push_back(job);
+        }
+    }
+    answer_ok(c, cmd, {{"cancelling", names_of(cmd.jobs)}, {"unknown", names_of(unknown)}});
+}
+
+void resume_show_job(context& c, open_command& cmd)
+{
+    const auto& job = std::get<show_job>(cmd.arrived.body).job;
+    send_read(c, cmd, read_of({job}), command_stage::reading);
+}
+
+void on_show_job_read(context& c, open_command& cmd, const std::vector<row>& rows)
+{
+    const auto& wanted = std::get<show_job>(cmd.arrived.body).job;
+    const auto jobs = sort_rows(rows);
+    const auto found = jobs.find(wanted);
+    if (found == jobs.end() || !found->second.registration) {
+        answer_error(c, cmd, result_code::unknown_job, "job '" + wanted.value + "' is not known");
+        return;
+    }
+    answer_ok(c, cmd, job_view(found->second));
+}
+
+void resume_list_jobs(context& c, open_command& cmd)
+{
+    const auto& body = std::get<list_jobs>(cmd.arrived.body);
+    store_read read;
+    // The smallest key behind `after` is `after` with one zero byte more.
+    const std::string from =
+        body.after.empty() ? "" : registration_prefix(body.after) + std::string(1, '\0');
+    read.ranges.push_back({registration_prefix(body.prefix), from, body.limit});
+    send_read(c, cmd, std::move(read), command_stage::reading);
+}
+
+void on_list_jobs_read(context& c, open_command& cmd, const std::vector<row>& rows)
+{
+    if (cmd.stage == command_stage::reading_back) {
+        answer_ok(c, cmd, {{"jobs", jobs_view(sort_rows(rows))}});
+        return;
+    }
+    cmd.jobs.clear();
+    for (const auto& [id, job] : sort_rows(rows)) {
+        cmd.jobs.push_back(id);
+    }
+    if (cmd.jobs.empty()) {
+        answer_ok(c, cmd, {{"jobs", json::array()}});
+        return;
+    }
+    send_read(c, cmd, read_of(cmd.jobs), command_stage::reading_back);
+}
+
+} // namespace cuminmoor
--- a/src/shutdown.cpp
+++ b/src/shutdown.cpp
@@ -8,7 +8,7 @@
 
 bool is_drained(const state& s)
 {
-    return s.requests.open.empty() && s.commands.waiting.empty() &&
+    return s.requests.open.empty() && s.commands.open.empty() &&
            s.scheduler.lease.role == lease_role::observer && !s.scheduler.pending;
 }
 
--- /dev/null
+++ b/tests/test_configuration.cpp
@@ -0,0 +1,198 @@
+/// \file
+/// Configuration: racing operators, lost answers, relay, versions that never go back.
+#include <criterion/criterion.h>
+
+#include "cuminmoor/configuration.h"
+#include "cuminmoor/json_reader.h"
+#include "entry_vm_driver.h"
+
+namespace cm = cuminmoor;
+using cm::test::entry_vm_driver;
+using cm::test::fake_table;
+
+namespace {
+
+std::vector<cm::vm_entry> two_domains()
+{
+    return {
+        {{"a1"}, cm::vm_role::entry, cm::vm_phase::live, {"tema-port"}, "", "", {}},
+        {{"b1"}, cm::vm_role::entry, cm::vm_phase::live, {"kumasi-mkt"}, "", "", {}},
+    };
+}
+
+cm::change_configuration use(cm::preset p)
+{
+    return {cm::use_preset{p}, std::nullopt};
+}
+
+} // namespace
+
+Test(configuration, empty_table_gets_version_one)
+{
+    fake_table table;
+    entry_vm_driver a{table, "a1", "tema-port"};
+    a.list_vms(two_domains());
+    cr_assert_eq(a.s.configuration.current.version.value, 1U);
+    cr_assert_neq(a.s.configuration.head_row, 0U);
+}
+
+Test(configuration, change_reaches_another_entry_vm_by_poll_alone)
+{
+    fake_table table;
+    entry_vm_driver a{table, "a1", "tema-port"};
+    entry_vm_driver b{table, "b1", "kumasi-mkt"};
+    a.list_vms(two_domains());
+    b.list_vms(two_domains());
+    const auto answer = a.run(use(cm::preset::peak));
+    cr_assert(answer && answer->code == cm::result_code::ok);
+    b.run_for(cm::config::configuration_poll + cm::config::tick_period);
+    cr_assert(b.s.configuration.current.active_preset == cm::preset::peak);
+}
+
+Test(configuration, racing_operators_are_told_both_versions)
+{
+    fake_table table;
+    entry_vm_driver a{table, "a1", "tema-port"};
+    entry_vm_driver b{table, "b1", "kumasi-mkt"};
+    a.list_vms(two_domains());
+    b.list_vms(two_domains());
+    const cm::change_configuration first{cm::use_preset{cm::preset::peak}, cm::config_version{1}};
+    const cm::change_configuration second{cm::use_preset{cm::preset::maintenance},
+                                          cm::config_version{1}};
+    cr_assert(a.run(first)->code == cm::result_code::ok);
+    const auto lost = b.run(second);
+    cr_assert(lost && lost->code == cm::result_code::version_conflict);
+    cr_assert(lost->message.find("version 1") != std::string::npos);
+    cr_assert(lost->message.find("version 2") != std::string::npos);
+}
+
+Test(configuration, race_without_expectation_applies_both_in_some_order)
+{
+    fake_table table;
+    entry_vm_driver a{table, "a1", "tema-port"};
+    entry_vm_driver b{table, "b1", "kumasi-mkt"};
+    a.list_vms(two_domains());
+    b.list_vms(two_domains());
+    cr_assert(a.run(use(cm::preset::peak))->code == cm::result_code::ok);
+    cr_assert(b.run({cm::change_configuration{cm::take_domain_out{{"tema-port"}}, {}}})->code ==
+              cm::result_code::ok);
+    cr_assert_eq(b.s.configuration.current.version.value, 3U);
+    cr_assert(b.s.configuration.current.active_preset == cm::preset::peak);
+}
+
+Test(configuration, lost_answer_is_read_back_and_applied_once)
+{
+    fake_table table;
+    entry_vm_driver a{table, "a1", "tema-port"};
+    a.list_vms(two_domains());
+    int commits = 0;
+    a.commit_hook = [&](const cm::store_commit& request) {
+        auto done = cm::test::apply_commit(table, request);
+        if (++commits == 1) {
+            done.outcome = cm::store_outcome::unknown;
+        }
+        return done;
+    };
+    cr_assert(a.run(use(cm::preset::peak))->code == cm::result_code::ok);
+    a.run_for(cm::config::configuration_poll * 2);
+    cr_assert_eq(a.s.configuration.current.version.value, 2U);
+    cr_assert_eq(a.s.counters.get("configuration_change_read_back"), 1U);
+}
+
+Test(configuration, store_outage_is_told_truthfully)
+{
+    fake_table table;
+    entry_vm_driver a{table, "a1", "tema-port"};
+    a.list_vms(two_domains());
+    a.commit_hook = [](const cm::store_commit& request) {
+        return cm::store_committed{request.token, cm::store_outcome::unavailable, 0};
+    };
+    cr_assert(a.run(use(cm::preset::peak))->code == cm::result_code::store_unavailable);
+    a.commit_hook = [](const cm::store_commit& request) {
+        return cm::store_committed{request.token, cm::store_outcome::unknown, 0};
+    };
+    cr_assert(a.run(use(cm::preset::peak))->code == cm::result_code::outcome_unknown);
+}
+
+Test(configuration, relayed_step_is_adopted_and_an_old_one_is_not)
+{
+    fake_table table;
+    entry_vm_driver a{table, "a1", "tema-port"};
+    a.list_vms(two_domains());
+    const cm::peer_changes next{{"b1"}, {{{2}, cm::use_preset{cm::preset::peak}}}};
+    a.deliver(cm::peer_received{next});
+    cr_assert_eq(a.s.configuration.current.version.value, 2U);
+    const cm::peer_changes old{{"b1"}, {{{2}, cm::use_preset{cm::preset::ordinary}}}};
+    a.deliver(cm::peer_received{old});
+    cr_assert(a.s.configuration.current.active_preset == cm::preset::peak);
+}
+
+Test(configuration, reader_behind_the_kept_steps_takes_the_snapshot)
+{
+    fake_table table;
+    entry_vm_driver a{table, "a1", "tema-port"};
+    entry_vm_driver b{table, "b1", "kumasi-mkt"};
+    a.list_vms(two_domains());
+    b.list_vms(two_domains());
+    for (int i = 0; i < 300; ++i) {
+        cr_assert(a.run(use(i % 2 == 0 ? cm::preset::peak : cm::preset::ordinary))->code ==
+                  cm::result_code::ok);
+    }
+    b.run_for(cm::config::configuration_poll * 4);
+    cr_assert_eq(b.s.configuration.current.version, a.s.configuration.current.version);
+    cr_assert_lt(table.rows().size(), 300U);
+}
+
+Test(configuration, unknown_names_are_refused)
+{
+    fake_table table;
+    entry_vm_driver a{table, "a1", "tema-port"};
+    a.list_vms(two_domains());
+    cr_assert(a.run(cm::change_configuration{cm::take_domain_out{{"nowhere"}}, {}})->code ==
+              cm::result_code::unknown_failure_domain);
+    cr_assert(a.run(cm::change_configuration{cm::remove_service{{"none"}}, {}})->code ==
+              cm::result_code::unknown_service);
+}
+
+Test(configuration, json_round_trip_keeps_every_field)
+{
+    cm::configuration whole;
+    whole.version = {9};
+    whole.active_preset = cm::preset::maintenance;
+    whole.domains_out = {{"tema-port"}};
+    whole.services[{"quote"}] = {{"quote"}, {"desk"}, 3, {1000, 512, 1}, 40'000};
+    whole.teams[{"desk"}] = {{"desk"}, 5, {64'000, 1024, 2}};
+    const auto text = cm::dump_json(cm::configuration_to_json(whole));
+    const auto value = cm::parse_json(text, "test");
+    const auto back = cm::configuration_from_json(*value);
+    cr_assert(back.ok());
+    cr_assert_eq(cm::dump_json(cm::configuration_to_json(*back)), text);
+}
+
+Test(membership, vm_counts_as_gone_only_after_the_confirmation_time)
+{
+    fake_table table;
+    entry_vm_driver a{table, "a1", "tema-port"};
+    a.list_vms(two_domains());
+    a.list_vms({two_domains().front()});
+    cr_assert(a.s.membership.vms[{"b1"}].phase == cm::vm_phase::live);
+    a.run_for(cm::config::gone_confirmation + cm::config::vm_list_poll);
+    cr_assert(a.s.membership.vms[{"b1"}].phase == cm::vm_phase::gone);
+}
+
+Test(membership, leaving_is_learned_from_a_peer)
+{
+    fake_table table;
+    entry_vm_driver a{table, "a1", "tema-port"};
+    auto vms = two_domains();
+    vms.push_back({{"w1"}, cm::vm_role::worker, cm::vm_phase::live, {"tema-port"}, "", "", {}});
+    a.list_vms(vms);
+    cm::peer_heartbeat beat;
+    beat.from = {"b1"};
+    beat.failure_domain = {"kumasi-mkt"};
+    beat.sequence = 1;
+    beat.leaving_vms = {{"w1"}, {"unheard-of"}};
+    a.deliver(cm::peer_received{beat});
+    cr_assert(a.s.membership.leaving.contains({"w1"}));
+    cr_assert(!a.s.membership.leaving.contains({"unheard-of"}));
+}
