--- a/src/commands_jobs.cpp
+++ b/src/commands_jobs.cpp
@@ -41,12 +41,12 @@
     const std::string registrations = registration_prefix("");
     for (const row& r : rows) {
         if (r.key.starts_with(registrations)) {
-            if (auto decoded = decode_registration(r.value); decoded.ok()) {
-                jobs[decoded->submission.spec.id].registration = *std::move(decoded);
+            if (const auto decoded = decode_registration(r.value); decoded.ok()) {
+                jobs[decoded->submission.spec.id].registration = *decoded;
             }
         }
-        else if (auto decoded = decode_job_summary(r.value); decoded.ok()) {
-            jobs[decoded->job].summaries.push_back(*std::move(decoded));
+        else if (const auto decoded = decode_job_summary(r.value); decoded.ok()) {
+            jobs[decoded->job].summaries.push_back(*decoded);
         }
     }
     return jobs;
