Seeded histories of the request path

Cause: truthfulness of refusals and at-most-once runs depend on orders of events that unit tests do not reach. A driver plays entry VMs, runners, store and network on a virtual clock; 1,600 seeds with refusals, losses, late answers, lost and late store writes, crashes and pauses hold. With each mechanism taken away (preconditions, handle matching, truthful outcomes, the list of leaving VMs, membership) the matching check fails.

--- a/src/requests_admission.cpp
+++ b/src/requests_admission.cpp
@@ -29,8 +29,9 @@
 {
     const auto& configuration = c.s.configuration.current;
     const auto& routes = c.s.requests.routes;
-    return configuration.version == config_version{} || configuration.services.contains(service) ||
-           routes.runners.contains(service) || routes.remote.contains(service);
+    return !c.s.membership.has_list || configuration.version == config_version{} ||
+           configuration.services.contains(service) || routes.runners.contains(service) ||
+           routes.remote.contains(service);
 }
 
 void refuse_without_runner(context& c, open_request& r)
--- /dev/null
+++ b/tests/test_request_histories.cpp
@@ -0,0 +1,142 @@
+/// \file
+/// Seeded histories of the request path under faults; each check is shown to notice the absence of
+/// the mechanism that it watches.
+#include <criterion/criterion.h>
+
+#include "request_driver.h"
+
+namespace ct = cuminmoor::test;
+
+namespace {
+
+void expect_sound(const ct::history_options& options)
+{
+    const auto result = ct::request_driver{options}.run();
+    for (const auto& v : result.violations) {
+        cr_log_error("seed %llu: %s", static_cast<unsigned long long>(options.seed), v.c_str());
+    }
+    cr_assert(result.violations.empty());
+}
+
+ct::fault_rates all_faults()
+{
+    return {.runner_refuses = 50,
+            .not_sent = 30,
+            .answer_lost = 50,
+            .answer_late = 50,
+            .store_unavailable = 50,
+            .store_answer_lost = 80,
+            .store_write_late = 50,
+            .peer_message_lost = 50,
+            .abandoned = 50,
+            .vm_crash = 0,
+            .vm_pause = 0};
+}
+
+bool notices(ct::history_options options)
+{
+    for (options.seed = 1; options.seed <= 20; ++options.seed) {
+        if (!ct::request_driver{options}.run().violations.empty()) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+Test(request_histories, without_faults_every_request_is_answered_ok)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        ct::history_options options;
+        options.seed = seed;
+        const auto result = ct::request_driver{options}.run();
+        cr_assert(result.violations.empty());
+        cr_assert_eq(result.good, options.requests, "seed %llu: %zu",
+                     static_cast<unsigned long long>(seed), result.good);
+        cr_assert_leq(result.max_in_flight, cuminmoor::config::slots_per_runner);
+    }
+}
+
+Test(request_histories, hold_under_every_fault)
+{
+    for (std::uint64_t seed = 1; seed <= 1'000; ++seed) {
+        ct::history_options options;
+        options.seed = seed;
+        options.faults = all_faults();
+        options.domain_out = seed % 4 == 0;
+        options.runner_leaves = seed % 3 == 0;
+        expect_sound(options);
+    }
+}
+
+Test(request_histories, hold_when_entry_vms_crash_and_pause)
+{
+    for (std::uint64_t seed = 1; seed <= 500; ++seed) {
+        ct::history_options options;
+        options.seed = seed;
+        options.faults = all_faults();
+        options.faults.vm_crash = 20;
+        options.faults.vm_pause = 20;
+        expect_sound(options);
+    }
+}
+
+Test(request_histories, hold_under_overload)
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        ct::history_options options;
+        options.seed = seed;
+        options.faults = all_faults();
+        options.runners_per_domain = 2;
+        options.service_ms = 200;
+        options.mean_gap_ms = 3;
+        options.requests = 600;
+        expect_sound(options);
+    }
+}
+
+Test(request_histories, checks_notice_a_store_without_preconditions)
+{
+    ct::history_options options;
+    options.broken.store_ignores_preconditions = true;
+    cr_assert(notices(options));
+}
+
+Test(request_histories, checks_notice_a_false_not_run)
+{
+    ct::history_options options;
+    options.faults.answer_lost = 200;
+    options.broken.lost_reported_as_refused = true;
+    cr_assert(notices(options));
+}
+
+Test(request_histories, checks_notice_answers_given_to_the_wrong_dispatch)
+{
+    ct::history_options options;
+    options.broken.answers_given_to_wrong_dispatch = true;
+    cr_assert(notices(options));
+}
+
+Test(request_histories, checks_notice_work_for_a_leaving_runner)
+{
+    ct::history_options options;
+    options.requests = 1'000;
+    options.runner_leaves = true;
+    options.broken.leaving_not_listed = true;
+    cr_assert(notices(options));
+}
+
+Test(request_histories, slots_overflow_when_entry_vms_are_unaware_of_each_other)
+{
+    ct::history_options options;
+    options.failure_domains = 1;
+    options.runners_per_domain = 2;
+    options.service_ms = 400;
+    options.requests = 600;
+    const auto shared = ct::request_driver{options}.run();
+    cr_assert_leq(shared.max_in_flight, cuminmoor::config::slots_per_runner);
+    options.broken.entry_vms_unaware_of_each_other = true;
+    const auto unaware = ct::request_driver{options}.run();
+    cr_assert_gt(unaware.max_in_flight, cuminmoor::config::slots_per_runner);
+}
