--- /dev/null
+++ b/src/records_ledger.cpp
@@ -0,0 +1,171 @@
+/// \file
+/// Text of a whole ledger, for the object store.
+#include "cuminmoor/json_units.h"
+#include "cuminmoor/status.h"
+#include "records_json.h"
+
+namespace cuminmoor {
+
+namespace {
+
+using nlohmann::json;
+
+json where_to_json(const assignment& a)
+{
+    return {{"worker", a.worker.value},
+            {"incarnation", a.incarnation},
+            {"attempt", a.attempt},
+            {"size", resources_to_json(a.size)},
+            {"start_before", a.start_before.ms},
+            {"stopping", a.stopping},
+            {"stop_cause", name_of(a.stop_cause)}};
+}
+
+json task_to_json(std::uint32_t index, const task_entry& t)
+{
+    json body{{"task", index},
+              {"phase", static_cast<int>(t.phase)},
+              {"attempts", t.attempts},
+              {"failures", t.failures},
+              {"evictions", t.evictions},
+              {"checkpoint", t.checkpoint},
+              {"failed_on", json::array()}};
+    for (const auto& worker : t.failed_on) {
+        body["failed_on"].push_back(worker.value);
+    }
+    if (t.where) {
+        body["where"] = where_to_json(*t.where);
+    }
+    return body;
+}
+
+json entry_to_json(const job_entry& j)
+{
+    json body{{"spec", job_to_json(j.spec)}, {"cancelled", j.cancelled},  {"sequence", j.sequence},
+              {"evictions", j.evictions},    {"moved_to", json::array()}, {"at", j.submitted_at_s},
+              {"tasks", json::array()}};
+    for (const auto& fd : j.moved_to) {
+        body["moved_to"].push_back(fd.value);
+    }
+    for (const auto& [index, task] : j.tasks) {
+        body["tasks"].push_back(task_to_json(index, task));
+    }
+    return body;
+}
+
+void read_where(json_reader& r, assignment& out)
+{
+    r.name("worker", out.worker.value);
+    r.optional_text("incarnation", out.incarnation, max_text_bytes);
+    r.number("attempt", out.attempt, u32_range);
+    read_size(r, "size", out.size);
+    r.number("start_before", out.start_before.ms, {INT64_MIN, INT64_MAX});
+    r.optional_flag("stopping", out.stopping);
+    read_cause(r, "stop_cause", out.stop_cause);
+}
+
+void read_task_entry(json_reader& r, task_entry& out)
+{
+    int phase = 0;
+    r.number("phase", phase, {0, static_cast<int>(task_phase::moved)});
+    out.phase = static_cast<task_phase>(phase);
+    r.number("attempts", out.attempts, u32_range);
+    r.number("failures", out.failures, u32_range);
+    r.number("evictions", out.evictions, u32_range);
+    r.optional_text("checkpoint", out.checkpoint, max_text_bytes);
+    std::set<std::string> failed_on;
+    read_names(r, "failed_on", failed_on);
+    for (const auto& worker : failed_on) {
+        out.failed_on.insert({worker});
+    }
+    if (const auto* const value = r.find("where")) {
+        const auto where = read_all<assignment>(*value, "ledger assignment", read_where);
+        r.fail(where.status());
+        out.where = where.ok() ? std::optional{*where} : std::nullopt;
+    }
+    if (out.where.has_value() != (out.phase == task_phase::assigned)) {
+        r.fail(malformed_error("ledger task: 'where' must be set exactly for an assigned task"));
+    }
+}
+
+/// Adds a task to the job and to the ledger's indices.
+void index_task(ledger& book, job_entry& job, std::uint32_t index, task_entry task)
+{
+    const task_id id{job.spec.id, index};
+    ++job.totals.in(task.phase);
+    if (task.phase == task_phase::waiting) {
+        book.waiting.insert({job.spec.kind, job.sequence, id});
+    }
+    if (task.where) {
+        book.committed[task.where->worker] += task.where->size;
+        book.on_worker[task.where->worker].insert(id);
+    }
+    job.tasks.insert_or_assign(index, std::move(task));
+}
+
+void read_tasks(json_reader& r, ledger& book, job_entry& job)
+{
+    for (const auto& item : read_array(r, "tasks")) {
+        json_reader inner{item, "ledger task"};
+        std::uint32_t index = 0;
+        task_entry task;
+        inner.number("task", index, u32_range);
+        read_task_entry(inner, task);
+        r.fail(inner.finish_lenient());
+        index_task(book, job, index, std::move(task));
+    }
+}
+
+absl::Status read_job_entry(ledger& book, const json& body)
+{
+    json_reader r{body, "ledger job"};
+    job_spec spec;
+    read_spec(r, spec);
+    auto& job = book.jobs[spec.id];
+    job.spec = std::move(spec);
+    r.optional_flag("cancelled", job.cancelled);
+    r.number("sequence", job.sequence, {});
+    r.number("evictions", job.evictions, u32_range);
+    r.number("at", job.submitted_at_s, {});
+    std::set<std::string> moved_to;
+    read_names(r, "moved_to", moved_to);
+    for (const auto& fd : moved_to) {
+        job.moved_to.insert({fd});
+    }
+    read_tasks(r, book, job);
+    return r.finish_lenient();
+}
+
+} // namespace
+
+std::string encode_ledger(const ledger& book)
+{
+    json body{{"applied", book.applied.value},
+              {"next_sequence", book.next_sequence},
+              {"jobs", json::array()}};
+    for (const auto& [id, job] : book.jobs) {
+        body["jobs"].push_back(entry_to_json(job));
+    }
+    return dump_json(body);
+}
+
+absl::StatusOr<ledger> decode_ledger(const std::string& text)
+{
+    const auto body = parse_json(text, "ledger");
+    if (!body.ok()) {
+        return body.status();
+    }
+    json_reader r{*body, "ledger"};
+    ledger book;
+    r.number("applied", book.applied.value, {});
+    r.number("next_sequence", book.next_sequence, {});
+    for (const auto& job : read_array(r, "jobs")) {
+        r.fail(read_job_entry(book, job));
+    }
+    if (auto fault = r.finish_lenient(); !fault.ok()) {
+        return fault;
+    }
+    return book;
+}
+
+} // namespace cuminmoor
--- /dev/null
+++ b/src/scheduler_checkpoint.cpp
@@ -0,0 +1,56 @@
+/// \file
+/// Keeping the log short: the ledger goes into the object store, old log rows are deleted.
+#include "absl/strings/str_cat.h"
+#include "scheduler_parts.h"
+
+namespace cuminmoor {
+
+void drive_checkpoint(context& c)
+{
+    auto& s = c.s.scheduler;
+    auto& k = s.checkpoint;
+    if (!s.recovered || !is_lease_valid(c) || k.put_token != 0 || c.now < k.retry_at ||
+        s.book.applied.value < k.stored.value + config::commits_per_checkpoint) {
+        return;
+    }
+    k.put_token = s.next_token++;
+    k.putting = s.book.applied;
+    c.out.add(object_put{{store_user::scheduler, k.put_token},
+                         ledger_object_key(c.s.self.failure_domain, k.putting),
+                         encode_ledger(s.book)});
+}
+
+void on_checkpoint_put(context& c, const object_done& e)
+{
+    auto& k = c.s.scheduler.checkpoint;
+    if (k.put_token == 0 || e.token.number != k.put_token) {
+        return;
+    }
+    k.put_token = 0;
+    if (!e.ok) {
+        c.s.counters.add("scheduler.checkpoint_retry");
+        k.retry_at = c.now + back_off(c, 4);
+        return;
+    }
+    k.stored = k.putting;
+}
+
+void collect_checkpoint(context& c, commit_draft& d)
+{
+    auto& k = c.s.scheduler.checkpoint;
+    const auto& fd = c.s.self.failure_domain;
+    if (k.stored > k.done) {
+        d.extra.writes.push_back(
+            {ledger_pointer_key(fd), absl::StrCat("{\"index\":", k.stored.value, "}")});
+    }
+    d.checkpoint = k.stored;
+    // The pointer row names `stored` after this transaction, so rows up to it may go in it.
+    const std::uint64_t last =
+        std::min(k.stored.value, k.trimmed.value + config::max_log_rows_trimmed);
+    for (std::uint64_t i = k.trimmed.value + 1; i <= last; ++i) {
+        d.extra.writes.push_back({log_key(fd, {i}), std::nullopt});
+    }
+    d.trims_to.value = last;
+}
+
+} // namespace cuminmoor
--- /dev/null
+++ b/src/scheduler_evidence.cpp
@@ -0,0 +1,183 @@
+/// \file
+/// From the workers' reports to the ends of attempts.
+///
+/// An attempt is released only on positive evidence that it neither runs nor can begin any more:
+/// the worker reports its end; the worker reports without it after its start order has expired on
+/// the worker's own clock; the worker is a new incarnation without it; or the platform does not
+/// list the worker any more. Silence is no evidence.
+#include "absl/strings/str_cat.h"
+#include "records_json.h"
+#include "scheduler_parts.h"
+
+namespace cuminmoor {
+
+namespace {
+
+const task_report* find_report(const worker_report& report, const task_id& id,
+                               std::uint32_t attempt)
+{
+    for (const auto& t : report.tasks) {
+        if (t.task == id && t.attempt == attempt) {
+            return &t;
+        }
+    }
+    return nullptr;
+}
+
+/// \return true when no start order of the assignment can have an effect any more. Ends that come
+/// earlier wait, so that a delayed copy of the order can't start a finished attempt again.
+bool is_start_expired(const context& c, const worker_state& w, const assignment& a)
+{
+    return !c.s.scheduler.switches.start_validity || w.last.incarnation != a.incarnation ||
+           w.last.clock >= a.start_before;
+}
+
+std::string newest_checkpoint(const worker_state& w, const task_id& id, const task_report* report)
+{
+    if (report != nullptr && !report->checkpoint.empty()) {
+        return report->checkpoint;
+    }
+    const auto known = w.checkpoints.find(id);
+    return known == w.checkpoints.end() ? std::string{} : known->second;
+}
+
+void release(context& c, commit_draft& d, const task_id& id, const assignment& a,
+             release_cause cause, std::string checkpoint)
+{
+    c.s.counters.add(absl::StrCat("scheduler.released.", name_of(cause)));
+    d.add(id, task_released{id, a.attempt, cause, std::move(checkpoint)});
+}
+
+void end_failed(context& c, commit_draft& d, const task_id& id, const task_entry& task,
+                std::string checkpoint)
+{
+    const auto& a = *task.where;
+    auto failed_on = task.failed_on;
+    failed_on.insert(a.worker);
+    if (failed_on.size() >= config::max_failed_workers ||
+        task.failures + 1 >= config::max_failed_attempts) {
+        c.s.counters.add("scheduler.task_given_up");
+        d.add(id, task_failed{id, a.attempt});
+        return;
+    }
+    release(c, d, id, a, release_cause::failed, std::move(checkpoint));
+}
+
+void end_reported(context& c, commit_draft& d, const task_id& id, const task_entry& task,
+                  const worker_state& w, const task_report& report)
+{
+    const auto& a = *task.where;
+    std::string checkpoint = newest_checkpoint(w, id, &report);
+    switch (report.status) {
+    case task_status::running:
+        return;
+    case task_status::finished:
+        d.add(id, task_finished{id, a.attempt});
+        return;
+    case task_status::failed:
+        end_failed(c, d, id, task, std::move(checkpoint));
+        return;
+    case task_status::stopped:
+        release(c, d, id, a, a.stopping ? a.stop_cause : release_cause::evicted,
+                std::move(checkpoint));
+        return;
+    case task_status::lapsed:
+        release(c, d, id, a, release_cause::lapsed, std::move(checkpoint));
+        return;
+    }
+}
+
+void judge_task(context& c, commit_draft& d, const task_id& id, const worker_state& w)
+{
+    const auto* const task = find_task(c.s.scheduler.book, id);
+    if (task == nullptr || !task->where || !d.is_free(id)) {
+        return;
+    }
+    const auto& a = *task->where;
+    if (!is_start_expired(c, w, a)) {
+        return;
+    }
+    if (const auto* const report = find_report(w.last, id, a.attempt)) {
+        end_reported(c, d, id, *task, w, *report);
+        return;
+    }
+    const bool restarted = w.last.incarnation != a.incarnation;
+    release(c, d, id, a, restarted ? release_cause::worker_restarted : release_cause::never_started,
+            newest_checkpoint(w, id, nullptr));
+}
+
+void judge_dirty_workers(context& c, commit_draft& d)
+{
+    auto& s = c.s.scheduler;
+    while (!s.dirty_workers.empty() && !d.is_full()) {
+        const vm_id id = *s.dirty_workers.begin();
+        s.dirty_workers.erase(s.dirty_workers.begin());
+        const auto worker = s.workers.find(id);
+        const auto tasks = s.book.on_worker.find(id);
+        if (worker == s.workers.end() || !worker->second.has_report ||
+            tasks == s.book.on_worker.end()) {
+            continue;
+        }
+        for (const auto& task : tasks->second) {
+            judge_task(c, d, task, worker->second);
+        }
+    }
+}
+
+/// \return true when the platform has ended the worker.
+bool is_gone(const context& c, const vm_id& id)
+{
+    const auto& s = c.s.scheduler;
+    if (!c.s.membership.has_list) {
+        return false;
+    }
+    const auto listed = c.s.membership.vms.find(id);
+    if (listed != c.s.membership.vms.end()) {
+        return listed->second.phase == vm_phase::gone;
+    }
+    // This process never saw it listed: its own list may be older than the assignment.
+    return c.now - s.recovered_at >= config::unlisted_worker_grace;
+}
+
+bool counts_as_gone(const context& c, const vm_id& id)
+{
+    const auto& s = c.s.scheduler;
+    const auto worker = s.workers.find(id);
+    if (worker != s.workers.end() && worker->second.listed) {
+        return !s.switches.positive_evidence && worker->second.failed_syncs >= 3;
+    }
+    return is_gone(c, id);
+}
+
+void judge_gone_workers(context& c, commit_draft& d)
+{
+    const auto& s = c.s.scheduler;
+    for (const auto& [id, tasks] : s.book.on_worker) {
+        if (d.is_full()) {
+            return;
+        }
+        if (!counts_as_gone(c, id)) {
+            continue;
+        }
+        const auto worker = s.workers.find(id);
+        const worker_state unknown;
+        const auto& w = worker == s.workers.end() ? unknown : worker->second;
+        for (const auto& task : tasks) {
+            const auto* const entry = find_task(s.book, task);
+            if (entry != nullptr && entry->where && d.is_free(task)) {
+                release(c, d, task, *entry->where, release_cause::worker_gone,
+                        newest_checkpoint(w, task, nullptr));
+            }
+        }
+    }
+}
+
+} // namespace
+
+void collect_evidence(context& c, commit_draft& d)
+{
+    judge_dirty_workers(c, d);
+    judge_gone_workers(c, d);
+}
+
+} // namespace cuminmoor
