--- a/tests/request_driver.cpp
+++ b/tests/request_driver.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::int64_t settle_ms{45'000};
 constexpr std::int64_t start_ms{3'000};
+constexpr std::int64_t us_per_ms{1'000};
 constexpr std::int64_t leave_grace_ms{4'000};
 constexpr std::int64_t answer_grace_ms{150};
 constexpr const char* service_name = "drape-desk";
@@ -316,9 +317,10 @@
 
 void request_driver::send_requests()
 {
-    end_ms_ = start_ms;
+    std::int64_t at_us = start_ms * us_per_ms;
     for (std::size_t n = 0; n < options_.requests; ++n) {
-        end_ms_ += pick(0, 2 * options_.mean_gap_ms);
+        at_us += pick(0, 2 * options_.mean_gap_us);
+        end_ms_ = at_us / us_per_ms;
         after(end_ms_, [this, n] {
             if (!sent_.empty() && chance(options_.repeat_permille)) {
                 const auto& [key, idempotent] = sent_[rng_() % sent_.size()];
--- a/tests/request_driver.h
+++ b/tests/request_driver.h
@@ -53,7 +53,7 @@
     std::size_t runners_per_domain{4};
     std::size_t requests{150};
     std::size_t callers{4};
-    std::int64_t mean_gap_ms{10};
+    std::int64_t mean_gap_us{10'000};
     std::int64_t service_ms{40};
     std::int64_t min_deadline_ms{200};
     std::int64_t max_deadline_ms{3'000};
--- a/tests/test_request_histories.cpp
+++ b/tests/test_request_histories.cpp
@@ -90,7 +90,7 @@
         options.faults = all_faults();
         options.runners_per_domain = 2;
         options.service_ms = 200;
-        options.mean_gap_ms = 3;
+        options.mean_gap_us = 3'000;
         options.requests = 600;
         expect_sound(options);
     }
