--- a/daemon/api_handler.cpp
+++ b/daemon/api_handler.cpp
@@ -124,7 +124,7 @@
               });
 }
 
-void api_handler::hand_over(open_call call, std::function<event(traffic_handle)> make_event)
+void api_handler::hand_over(open_call call, const std::function<event(traffic_handle)>& make_event)
 {
     const traffic_handle handle = calls_.add(std::move(call));
     // Looked at after the call was added: either `close` finds the call or this does.
--- a/daemon/api_handler.h
+++ b/daemon/api_handler.h
@@ -34,7 +34,7 @@
     void on_caller_request(const http_request& request, const std::string& service,
                            http_responder respond);
     void on_command(const http_request& request, http_responder respond);
-    void hand_over(open_call call, std::function<event(traffic_handle)> make_event);
+    void hand_over(open_call call, const std::function<event(traffic_handle)>& make_event);
     void refuse_closed(traffic_handle handle);
 
     open_calls& calls_;
--- a/daemon/http_platform_client.cpp
+++ b/daemon/http_platform_client.cpp
@@ -26,15 +26,13 @@
 store_committed read_commit_result(const store_token& token, const http_result& r)
 {
     store_committed done{token, store_outcome::unknown, 0};
-    if (r.outcome == http_outcome::not_sent) {
+    const bool was_refused = r.outcome == http_outcome::answered && r.status == http_unavailable;
+    if (r.outcome == http_outcome::not_sent || was_refused) {
         done.outcome = store_outcome::unavailable;
     }
     else if (r.outcome == http_outcome::answered && r.status == http_conflict) {
         done.outcome = store_outcome::conflict;
     }
-    else if (r.outcome == http_outcome::answered && r.status == http_unavailable) {
-        done.outcome = store_outcome::unavailable;
-    }
     else if (is_ok(r)) {
         const auto revision = decode_commit_answer(r.body);
         done.outcome = revision.ok() ? store_outcome::ok : store_outcome::unknown;
@@ -176,7 +174,7 @@
     {
         // Taken before the bytes go, so that what was read is at least as new.
         const instant started = clock_.now();
-        http_.start(std::move(call), [this, started, done](http_result r) {
+        http_.start(std::move(call), [this, started, done = std::move(done)](http_result r) {
             --in_flight_;
             done(std::move(r), started);
         });
