--- a/include/cuminmoor/job.h
+++ b/include/cuminmoor/job.h
@@ -6,6 +6,8 @@
 /// committed state.
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -42,12 +44,30 @@
     std::string command;
 };
 
+/// Why an assignment ended, or is to end, without the task having finished.
+enum class release_cause : std::uint8_t {
+    never_started,
+    evicted,
+    failed,
+    lapsed,
+    worker_restarted,
+    worker_gone,
+    cancelled,
+    domain_out,
+};
+
 /// Where an attempt runs, or may run.
 struct assignment {
     vm_id worker;
     std::string incarnation;
     std::uint32_t attempt{0};
+    /// What the worker's share is charged with until the assignment is released.
+    resources size;
+    /// On the clock of that incarnation of the worker: from then on the attempt can't begin.
+    remote_instant start_before;
     bool stopping{false};
+    /// Why it is to stop; valid while `stopping`.
+    release_cause stop_cause{release_cause::evicted};
 };
 
 enum class task_phase : std::uint8_t { waiting, assigned, finished, failed, cancelled, moved };
@@ -60,29 +80,44 @@
     std::uint32_t failures{0};
     std::uint32_t evictions{0};
     std::string checkpoint;
+    /// Workers on which an attempt failed.
+    std::set<vm_id> failed_on;
     /// Set exactly while `phase` is assigned.
     std::optional<assignment> where;
 };
 
+/// Number of tasks in each phase.
+struct task_totals {
+    std::array<std::uint32_t, 6> by_phase{};
+
+    [[nodiscard]] std::uint32_t in(task_phase p) const
+    {
+        return by_phase.at(static_cast<std::size_t>(p));
+    }
+    std::uint32_t& in(task_phase p) { return by_phase.at(static_cast<std::size_t>(p)); }
+    bool operator==(const task_totals&) const = default;
+};
+
 struct job_entry {
     job_spec spec;
     bool cancelled{false};
+    /// Order of admission in this failure domain.
+    std::uint64_t sequence{0};
+    /// Mirrors `tasks`.
+    task_totals totals;
+    std::uint32_t evictions{0};
+    /// Failure domains that tasks were moved to; a cancellation is passed on to them.
+    std::set<failure_domain_id> moved_to;
     /// Only the tasks that are this failure domain's; others were moved in or out.
     std::map<std::uint32_t, task_entry> tasks;
     /// Wall-clock seconds since the epoch at submission, for people and deadlines across VMs.
     std::int64_t submitted_at_s{0};
-};
 
-/// Why an assignment ended without the task having finished.
-enum class release_cause : std::uint8_t {
-    never_started,
-    evicted,
-    failed,
-    lapsed,
-    worker_restarted,
-    worker_gone,
-    cancelled,
-    domain_out,
+    /// \return true when no task of it waits or runs here.
+    [[nodiscard]] bool has_ended() const
+    {
+        return totals.in(task_phase::waiting) == 0 && totals.in(task_phase::assigned) == 0;
+    }
 };
 
 struct job_admitted {
@@ -103,6 +138,10 @@
     vm_id worker;
     std::string incarnation;
     resources size;
+    /// What the worker had when this was decided; the ledger refuses to go beyond it.
+    resources capacity;
+    /// See `assignment::start_before`.
+    remote_instant start_before;
 };
 struct task_stop_ordered {
     task_id task;
@@ -131,15 +170,38 @@
 struct job_cancelled {
     job_id job;
 };
+/// An ended job leaves the ledger; its summary row stays.
+struct job_forgotten {
+    job_id job;
+};
 
 using ledger_record =
     std::variant<job_admitted, task_moved_in, task_assigned, task_stop_ordered, task_released,
-                 task_finished, task_failed, task_moved_out, job_cancelled>;
+                 task_finished, task_failed, task_moved_out, job_cancelled, job_forgotten>;
+
+/// Place in the queue: latency-critical before batch, then by admission.
+struct queue_key {
+    work_class kind{work_class::batch};
+    std::uint64_t sequence{0};
+    task_id task;
+
+    friend bool operator==(const queue_key&, const queue_key&) = default;
+    friend bool operator<(const queue_key& a, const queue_key& b)
+    {
+        if (a.kind != b.kind) {
+            return a.kind == work_class::latency_critical;
+        }
+        return a.sequence != b.sequence ? a.sequence < b.sequence : a.task < b.task;
+    }
+};
 
 /// Durable state of one failure domain.
 struct ledger {
     log_index applied;
+    std::uint64_t next_sequence{1};
     std::map<job_id, job_entry> jobs;
+    /// Waiting tasks; mirrors `jobs`.
+    std::set<queue_key> waiting;
     /// Sum of the sizes assigned to each worker, unconfirmed and stopping ones included.
     std::map<vm_id, resources> committed;
     /// Assigned tasks by worker; mirrors `jobs`.
@@ -147,9 +209,16 @@
 };
 
 /// Applies one record.
-/// \return an error, and leaves the ledger as it was, when the record contradicts the ledger.
+/// \return an error, and leaves the ledger as it was, when the record contradicts the ledger. The
+/// caller goes on with the next record: every reader of the log skips the same ones.
 absl::Status apply_record(ledger& book, const ledger_record& record);
 
+/// \return the task, or null when the ledger does not have it.
+const task_entry* find_task(const ledger& book, const task_id& id);
+/// \return its assignment when that attempt is assigned to that worker, or null.
+const assignment* find_assignment(const ledger& book, const task_id& id, std::uint32_t attempt,
+                                  const vm_id& worker);
+
 std::string encode_records(const std::vector<ledger_record>& records);
 absl::StatusOr<std::vector<ledger_record>> decode_records(const std::string& text);
 std::string encode_ledger(const ledger& book);
