--- a/daemon/command_request.cpp
+++ b/daemon/command_request.cpp
@@ -6,9 +6,9 @@
 #include <utility>
 
 #include "absl/strings/numbers.h"
+#include "cuminmoor/job.h"
 #include "cuminmoor/json_reader.h"
 #include "cuminmoor/status.h"
-#include "job_json.h"
 #include "url.h"
 
 namespace cuminmoor::io {
@@ -69,7 +69,7 @@
     json_reader reader{*document, "body"};
     submit_job parsed;
     if (const json* const job = reader.required("job")) {
-        auto spec = parse_job(*job);
+        auto spec = decode_job(dump_json(*job));
         reader.fail(spec.status());
         parsed.spec = std::move(spec).value_or(job_spec{});
     }
