--- a/include/cuminmoor/config.h
+++ b/include/cuminmoor/config.h
@@ -51,6 +51,33 @@
 inline constexpr millis inbox_poll{500};
 inline constexpr std::size_t max_records_per_commit{256};
 inline constexpr std::uint64_t commits_per_checkpoint{64};
+inline constexpr std::size_t max_log_rows_trimmed{64};
+/// Rows of each kind that one scan of the inbox reads.
+inline constexpr std::size_t inbox_scan_limit{128};
+inline constexpr std::size_t log_page_rows{1'000};
+/// Least time between two writes of a job's summary, but for its admission and end.
+inline constexpr millis summary_period{5'000};
+inline constexpr std::size_t max_summaries_per_commit{32};
+/// How long an ended job stays in the ledger.
+inline constexpr millis ended_job_retention{30'000};
+/// The same for a job of which some task was moved away and may come back.
+inline constexpr millis moved_job_retention{21'600'000};
+/// No task is started on a worker whose report is older.
+inline constexpr millis max_report_age{3'000};
+/// After this an exchange with a worker counts as lost.
+inline constexpr millis worker_sync_timeout{5'000};
+/// A new holder takes a worker that it has never seen listed as gone after this.
+inline constexpr millis unlisted_worker_grace{10'000};
+/// An observer that can't read the lease for this long renews the workers' leases itself.
+inline constexpr millis observer_keep_alive_after{60'000};
+inline constexpr millis observer_keep_alive_period{60'000};
+/// A task is given up after attempts on this many different workers failed,
+inline constexpr std::size_t max_failed_workers{3};
+/// or after this many failed attempts in all.
+inline constexpr std::uint32_t max_failed_attempts{6};
+inline constexpr std::uint32_t max_tasks_per_job{10'000};
+/// Waiting tasks that one commit looks at.
+inline constexpr std::size_t max_waiting_examined{512};
 
 // Requests.
 inline constexpr std::int64_t slots_per_runner{8};
--- /dev/null
+++ b/src/scheduler_inbox.cpp
@@ -0,0 +1,256 @@
+/// \file
+/// Taking submissions, moved tasks and cancellations from the inbox into the log.
+#include "cuminmoor/inbox.h"
+
+#include "scheduler_parts.h"
+
+namespace cuminmoor {
+
+namespace {
+
+void read_inbox(context& c)
+{
+    auto& in = c.s.scheduler.inbox;
+    const auto& fd = c.s.self.failure_domain;
+    in.scan_token = c.s.scheduler.next_token++;
+    in.scan_generation = in.generation;
+    in.unchecked.clear();
+    store_read read{{store_user::scheduler, in.scan_token}, {}, {}};
+    for (const auto& prefix :
+         {inbox_job_prefix(fd), inbox_move_prefix(fd), inbox_cancel_prefix(fd)}) {
+        read.ranges.push_back({prefix, "", config::inbox_scan_limit});
+    }
+    c.out.add(std::move(read));
+}
+
+std::size_t count_rows(const std::vector<row>& rows, const std::string& prefix)
+{
+    std::size_t n = 0;
+    for (const auto& row : rows) {
+        n += row.key.starts_with(prefix) ? 1 : 0;
+    }
+    return n;
+}
+
+/// Asks whether the submitted jobs were admitted before, though the ledger forgot them.
+bool read_summaries(context& c)
+{
+    auto& in = c.s.scheduler.inbox;
+    const auto& fd = c.s.self.failure_domain;
+    const std::string prefix = inbox_job_prefix(fd);
+    store_read read{{store_user::scheduler, c.s.scheduler.next_token}, {}, {}};
+    for (const auto& row : in.unchecked) {
+        if (row.key.starts_with(prefix)) {
+            read.keys.push_back(job_summary_key({row.key.substr(prefix.size())}, fd));
+        }
+    }
+    if (read.keys.empty()) {
+        return false;
+    }
+    in.scan_token = c.s.scheduler.next_token++;
+    c.out.add(std::move(read));
+    return true;
+}
+
+void finish_scan(context& c)
+{
+    auto& in = c.s.scheduler.inbox;
+    in.rows = std::exchange(in.unchecked, {});
+    in.scan_token = 0;
+    if (in.truncated) {
+        in.next_scan = c.now;
+    }
+}
+
+void note_inbox(context& c, const store_read_done& e)
+{
+    auto& in = c.s.scheduler.inbox;
+    const auto& fd = c.s.self.failure_domain;
+    in.unchecked = e.rows;
+    in.seen_before.clear();
+    in.truncated = false;
+    for (const auto& prefix :
+         {inbox_job_prefix(fd), inbox_move_prefix(fd), inbox_cancel_prefix(fd)}) {
+        in.truncated = in.truncated || count_rows(e.rows, prefix) >= config::inbox_scan_limit;
+    }
+    if (!read_summaries(c)) {
+        finish_scan(c);
+    }
+}
+
+void note_summaries(context& c, const store_read_done& e)
+{
+    auto& in = c.s.scheduler.inbox;
+    const std::string end = "/" + c.s.self.failure_domain.value;
+    for (const auto& row : e.rows) {
+        const std::size_t begin = job_summary_prefix({}).size() - 1;
+        in.seen_before.insert({row.key.substr(begin, row.key.size() - begin - end.size())});
+    }
+    finish_scan(c);
+}
+
+/// Deletes the row in the commit that takes its content.
+void take_row(commit_draft& d, const row& r)
+{
+    d.takes_inbox_rows = true;
+    d.extra.preconditions.push_back({r.key, r.version});
+    d.extra.writes.push_back({r.key, std::nullopt});
+}
+
+void refuse_row(context& c, commit_draft& d, const row& r, const char* counter)
+{
+    c.s.counters.add(counter);
+    take_row(d, r);
+}
+
+void write_first_summary(context& c, commit_draft& d, const job_admitted& admitted)
+{
+    job_entry job;
+    job.spec = admitted.spec;
+    job.submitted_at_s = admitted.submitted_at_s;
+    job.totals.in(task_phase::waiting) = admitted.spec.tasks;
+    const auto& fd = c.s.self.failure_domain;
+    d.extra.writes.push_back(
+        {job_summary_key(job.spec.id, fd), encode_job_summary(summarize(job, fd))});
+}
+
+void take_job(context& c, commit_draft& d, const row& r)
+{
+    const auto submission = decode_inbox_job(r.value);
+    if (!submission.ok()) {
+        refuse_row(c, d, r, "scheduler.inbox_malformed");
+        return;
+    }
+    const auto& s = c.s.scheduler;
+    const job_id& id = submission->spec.id;
+    if (s.book.jobs.contains(id) || s.inbox.seen_before.contains(id) ||
+        d.touched_jobs.contains(id)) {
+        refuse_row(c, d, r, "scheduler.inbox_duplicate");
+        return;
+    }
+    const job_admitted admitted{submission->spec, submission->submitted_at_s};
+    write_first_summary(c, d, admitted);
+    d.touched_jobs.insert(id);
+    d.records.emplace_back(admitted);
+    take_row(d, r);
+}
+
+void take_move(context& c, commit_draft& d, const row& r)
+{
+    const auto move = decode_inbox_move(r.value);
+    if (!move.ok()) {
+        refuse_row(c, d, r, "scheduler.inbox_malformed");
+        return;
+    }
+    if (!d.is_free(move->task)) {
+        return;
+    }
+    const auto* const task = find_task(c.s.scheduler.book, move->task);
+    if (task != nullptr && task->phase != task_phase::moved) {
+        refuse_row(c, d, r, "scheduler.inbox_duplicate");
+        return;
+    }
+    d.add(move->task, *move);
+    take_row(d, r);
+}
+
+/// Passes the cancellation on to where tasks of the job were moved.
+void forward_cancel(context& c, commit_draft& d, const job_entry& job)
+{
+    for (const auto& fd : job.moved_to) {
+        const inbox_cancel cancellation{job.spec.id, next_nonce(c)};
+        d.extra.writes.push_back(
+            {inbox_cancel_key(fd, job.spec.id), encode_inbox_cancel(cancellation)});
+    }
+}
+
+bool has_touched_task(const commit_draft& d, const job_id& job)
+{
+    const auto at = d.touched.lower_bound({job, 0});
+    return d.touched_jobs.contains(job) || (at != d.touched.end() && at->job == job);
+}
+
+void take_cancel(context& c, commit_draft& d, const row& r)
+{
+    const auto cancellation = decode_inbox_cancel(r.value);
+    if (!cancellation.ok()) {
+        refuse_row(c, d, r, "scheduler.inbox_malformed");
+        return;
+    }
+    // A job that changes in this very commit is cancelled in the next one.
+    if (has_touched_task(d, cancellation->job)) {
+        return;
+    }
+    const auto& s = c.s.scheduler;
+    const auto job = s.book.jobs.find(cancellation->job);
+    if (job == s.book.jobs.end()) {
+        if (!s.inbox.truncated) {
+            refuse_row(c, d, r, "scheduler.inbox_cancel_unknown_job");
+        }
+        return;
+    }
+    take_row(d, r);
+    if (job->second.cancelled) {
+        return;
+    }
+    d.touched_jobs.insert(job->first);
+    d.records.emplace_back(job_cancelled{job->first});
+    forward_cancel(c, d, job->second);
+}
+
+using take_function = void (*)(context&, commit_draft&, const row&);
+
+void take_kind(context& c, commit_draft& d, const std::string& prefix, take_function take)
+{
+    for (const auto& row : c.s.scheduler.inbox.rows) {
+        if (d.is_full()) {
+            return;
+        }
+        if (row.key.starts_with(prefix)) {
+            take(c, d, row);
+        }
+    }
+}
+
+} // namespace
+
+void drive_inbox(context& c)
+{
+    auto& s = c.s.scheduler;
+    if (!s.recovered || !is_lease_valid(c) || s.inbox.scan_token != 0 ||
+        c.now < s.inbox.next_scan || !s.inbox.rows.empty()) {
+        return;
+    }
+    s.inbox.next_scan = c.now + config::inbox_poll;
+    read_inbox(c);
+}
+
+void on_inbox_rows(context& c, const store_read_done& e)
+{
+    auto& in = c.s.scheduler.inbox;
+    if (in.scan_token == 0 || e.token.number != in.scan_token) {
+        return;
+    }
+    const bool is_first_step = in.unchecked.empty();
+    if (!e.ok || in.scan_generation != in.generation) {
+        c.s.counters.add(e.ok ? "scheduler.inbox_scan_stale" : "scheduler.inbox_scan_failed");
+        in.scan_token = 0;
+        in.unchecked.clear();
+        return;
+    }
+    if (is_first_step) {
+        note_inbox(c, e);
+        return;
+    }
+    note_summaries(c, e);
+}
+
+void collect_inbox(context& c, commit_draft& d)
+{
+    const auto& fd = c.s.self.failure_domain;
+    take_kind(c, d, inbox_job_prefix(fd), take_job);
+    take_kind(c, d, inbox_move_prefix(fd), take_move);
+    take_kind(c, d, inbox_cancel_prefix(fd), take_cancel);
+}
+
+} // namespace cuminmoor
--- /dev/null
+++ b/tests/test_ledger.cpp
@@ -0,0 +1,123 @@
+/// \file
+/// The ledger as the fold of its records, and its texts.
+#include <criterion/criterion.h>
+
+#include "cuminmoor/inbox.h"
+#include "cuminmoor/job.h"
+#include "cuminmoor/lease.h"
+
+namespace cm = cuminmoor;
+
+namespace {
+
+cm::job_spec spec_of(const char* id, std::uint32_t tasks)
+{
+    cm::job_spec spec;
+    spec.id = {id};
+    spec.team = {"kente"};
+    spec.tasks = tasks;
+    spec.task_size = {1'000, 512, 0};
+    spec.command = "run 1000";
+    return spec;
+}
+
+cm::task_assigned assign(const char* job, std::uint32_t index, std::uint32_t attempt)
+{
+    return {{{job}, index}, attempt, {"w1"}, "1", {1'000, 512, 0}, {2'000, 4'096, 0}, {5'000}};
+}
+
+bool apply(cm::ledger& book, const cm::ledger_record& record)
+{
+    return cm::apply_record(book, record).ok();
+}
+
+} // namespace
+
+Test(ledger, counts_each_task_once)
+{
+    cm::ledger book;
+    cr_assert(apply(book, cm::job_admitted{spec_of("j", 2), 7}));
+    cr_assert(!apply(book, cm::job_admitted{spec_of("j", 2), 7}));
+    cr_assert(apply(book, assign("j", 0, 1)));
+    cr_assert(apply(book, cm::task_finished{{{"j"}, 0}, 1}));
+    cr_assert(!apply(book, cm::task_finished{{{"j"}, 0}, 1}));
+    cr_assert_eq(book.jobs.at({"j"}).totals.in(cm::task_phase::finished), 1);
+    cr_assert(book.committed.empty());
+    cr_assert_eq(book.waiting.size(), 1);
+}
+
+Test(ledger, never_goes_beyond_the_vm)
+{
+    cm::ledger book;
+    cr_assert(apply(book, cm::job_admitted{spec_of("j", 3), 7}));
+    cr_assert(apply(book, assign("j", 0, 1)));
+    cr_assert(apply(book, assign("j", 1, 1)));
+    cr_assert(!apply(book, assign("j", 2, 1)));
+    cr_assert_eq(book.committed.at({"w1"}).milli_cores, 2'000);
+}
+
+Test(ledger, cancelled_tasks_hold_their_share_until_released)
+{
+    cm::ledger book;
+    cr_assert(apply(book, cm::job_admitted{spec_of("j", 2), 7}));
+    cr_assert(apply(book, assign("j", 0, 1)));
+    cr_assert(apply(book, cm::job_cancelled{{"j"}}));
+    cr_assert(book.waiting.empty());
+    cr_assert_eq(book.committed.at({"w1"}).milli_cores, 1'000);
+    cr_assert(apply(book, cm::task_released{{{"j"}, 0}, 1, cm::release_cause::cancelled, ""}));
+    cr_assert(book.jobs.at({"j"}).has_ended());
+    cr_assert_eq(book.jobs.at({"j"}).totals.in(cm::task_phase::cancelled), 2);
+}
+
+Test(ledger, a_moved_task_may_come_back)
+{
+    cm::ledger book;
+    cr_assert(apply(book, cm::job_admitted{spec_of("j", 1), 7}));
+    cr_assert(apply(book, cm::task_moved_out{{{"j"}, 0}, {"b"}}));
+    cr_assert(book.waiting.empty());
+    cr_assert(apply(book, cm::task_moved_in{spec_of("j", 1), 7, {{"j"}, 0}, 4, "ck"}));
+    cr_assert(!apply(book, cm::task_moved_in{spec_of("j", 1), 7, {{"j"}, 0}, 4, "ck"}));
+    cr_assert(apply(book, assign("j", 0, 5)));
+    cr_assert_eq(book.jobs.at({"j"}).tasks.at(0).checkpoint, "ck");
+}
+
+Test(ledger, survives_its_text)
+{
+    cm::ledger book;
+    const std::vector<cm::ledger_record> records{
+        cm::job_admitted{spec_of("j", 5), 7},
+        assign("j", 0, 1),
+        assign("j", 1, 1),
+        cm::task_stop_ordered{{{"j"}, 0}, 1, cm::release_cause::domain_out},
+        cm::task_released{{{"j"}, 1}, 1, cm::release_cause::failed, "ck"},
+        cm::task_moved_out{{{"j"}, 2}, {"b"}},
+        cm::task_moved_in{spec_of("k", 9), 8, {{"k"}, 3}, 2, "ck2"},
+        cm::job_cancelled{{"k"}},
+    };
+    const auto decoded = cm::decode_records(cm::encode_records(records));
+    cr_assert(decoded.ok());
+    for (const auto& record : *decoded) {
+        cr_assert(apply(book, record));
+    }
+    const std::string text = cm::encode_ledger(book);
+    const auto again = cm::decode_ledger(text);
+    cr_assert(again.ok());
+    cr_assert_eq(cm::encode_ledger(*again), text);
+    cr_assert(again->committed == book.committed);
+    cr_assert(again->waiting == book.waiting);
+    cr_assert(again->on_worker == book.on_worker);
+    cr_assert(again->jobs.at({"j"}).totals == book.jobs.at({"j"}).totals);
+}
+
+Test(ledger, malformed_texts_are_refused)
+{
+    cr_assert(!cm::decode_records("[{\"k\":\"job_admitted\"}]").ok());
+    cr_assert(!cm::decode_records("{").ok());
+    cr_assert(!cm::decode_ledger("[]").ok());
+    cr_assert(!cm::decode_job("{\"id\":5,\"team\":\"t\"}").ok());
+    cr_assert(!cm::decode_job("{\"id\":\"a/b\",\"team\":\"t\",\"task_size\":{}}").ok());
+    cr_assert(!cm::decode_job("{\"id\":\"a\",\"team\":\"t\",\"tasks\":0,\"task_size\":{}}").ok());
+    cr_assert(!cm::decode_lease("{\"holder\":1}").ok());
+    cr_assert(!cm::decode_inbox_job("null").ok());
+    cr_assert(!cm::decode_job_summary("{}").ok());
+}
