Operators' answers in the form that cuminmoorctl reads; heartbeats carry the scheduler's task counts

Counts older than the configuration in force are left out, since they would call a failure domain empty that is not.

--- a/daemon/peer_codec.cpp
+++ b/daemon/peer_codec.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 constexpr std::string_view magic{"CMr"};
-constexpr char version{1};
+constexpr char version{2};
 constexpr std::size_t head_bytes{magic.size() + 1};
 
 using writer = cereal::PortableBinaryOutputArchive;
@@ -103,7 +103,7 @@
     write_list(out, m.leaving_vms);
     out(m.waiting_requests);
     write(out, m.lease_holder);
-    out(m.epoch.value);
+    out(m.epoch.value, static_cast<std::uint8_t>(m.is_holder), m.assigned_tasks, m.waiting_tasks);
 }
 
 void read(reader& in, peer_heartbeat& m)
@@ -116,7 +116,9 @@
     read_list(in, m.leaving_vms);
     in(m.waiting_requests);
     read(in, m.lease_holder);
-    in(m.epoch.value);
+    std::uint8_t is_holder{0};
+    in(m.epoch.value, is_holder, m.assigned_tasks, m.waiting_tasks);
+    m.is_holder = is_holder != 0;
 }
 
 void write(writer& out, const peer_changes& m)
--- a/include/cuminmoor/job.h
+++ b/include/cuminmoor/job.h
@@ -213,6 +213,8 @@
 /// caller goes on with the next record: every reader of the log skips the same ones.
 absl::Status apply_record(ledger& book, const ledger_record& record);
 
+/// \return number of tasks that are assigned to workers.
+std::size_t count_assigned(const ledger& book);
 /// \return the task, or null when the ledger does not have it.
 const task_entry* find_task(const ledger& book, const task_id& id);
 /// \return its assignment when that attempt is assigned to that worker, or null.
--- a/include/cuminmoor/membership.h
+++ b/include/cuminmoor/membership.h
@@ -62,6 +62,10 @@
     /// Holder and epoch of the lease of the sender's failure domain, as last seen.
     vm_id lease_holder;
     lease_epoch epoch;
+    /// Whether the sender is that holder; the counts below are valid only then.
+    bool is_holder{false};
+    std::uint32_t assigned_tasks{0};
+    std::uint32_t waiting_tasks{0};
 };
 
 /// Datagram: steps of the configuration that the receiver may lack.
--- a/src/commands_jobs.cpp
+++ b/src/commands_jobs.cpp
@@ -54,18 +54,16 @@
 
 /// The phases that people see, with the names they see them by.
 constexpr std::array shown_phases{
-    std::pair{task_phase::waiting, "waiting"},     std::pair{task_phase::assigned, "assigned"},
+    std::pair{task_phase::waiting, "waiting"},     std::pair{task_phase::assigned, "running"},
     std::pair{task_phase::finished, "finished"},   std::pair{task_phase::failed, "failed"},
     std::pair{task_phase::cancelled, "cancelled"},
 };
 
-json totals_to_json(const task_totals& t)
+void put_totals(json& view, const task_totals& t)
 {
-    json view = json::object();
     for (const auto& [phase, name] : shown_phases) {
         view[name] = t.in(phase);
     }
-    return view;
 }
 
 void add_totals(task_totals& sum, const task_totals& t)
@@ -91,29 +89,41 @@
     return is_cancelled && cancelled > 0 ? "cancelled" : "finished";
 }
 
-json job_view(const stored_job& job)
+/// The parts of a job in its failure domains, with their sums in `whole`.
+json pieces_view(const stored_job& job, job_summary& whole)
 {
-    const auto& spec = job.registration->submission.spec;
-    task_totals sum;
-    bool is_cancelled = false;
-    std::uint64_t evictions = 0;
     json pieces = json::array();
     for (const auto& s : job.summaries) {
-        add_totals(sum, s.totals);
-        is_cancelled = is_cancelled || s.cancelled;
-        evictions += s.evictions;
-        pieces.push_back(
-            {{"failure_domain", s.failure_domain.value}, {"tasks", totals_to_json(s.totals)}});
-    }
-    return {{"id", spec.id.value},
-            {"team", spec.team.value},
-            {"owner", spec.owner.value},
-            {"phase", phase_name(spec, sum, is_cancelled)},
-            {"declared_tasks", spec.tasks},
-            {"tasks", totals_to_json(sum)},
-            {"evictions", evictions},
-            {"submitted_at_s", job.registration->submission.submitted_at_s},
-            {"failure_domains", std::move(pieces)}};
+        add_totals(whole.totals, s.totals);
+        whole.cancelled = whole.cancelled || s.cancelled;
+        whole.evictions += s.evictions;
+        json piece{{"failure_domain", s.failure_domain.value},
+                   {"moved", s.totals.in(task_phase::moved)}};
+        put_totals(piece, s.totals);
+        pieces.push_back(std::move(piece));
+    }
+    return pieces;
+}
+
+json job_view(const stored_job& job)
+{
+    const auto& spec = job.registration->submission.spec;
+    job_summary whole;
+    json pieces = pieces_view(job, whole);
+    const std::string phase = phase_name(spec, whole.totals, whole.cancelled);
+    json view{{"id", spec.id.value},
+              {"team", spec.team.value},
+              {"owner", spec.owner.value},
+              {"kind", spec.kind == work_class::batch ? "batch" : "latency_critical"},
+              {"phase", phase},
+              {"done", phase != "submitted" && phase != "running"},
+              {"tasks", spec.tasks},
+              {"evictions", whole.evictions},
+              {"deadline_ms", spec.deadline.count},
+              {"submitted_at_s", job.registration->submission.submitted_at_s},
+              {"failure_domains", std::move(pieces)}};
+    put_totals(view, whole.totals);
+    return view;
 }
 
 json jobs_view(const std::map<job_id, stored_job>& jobs)
@@ -202,7 +212,7 @@
             unknown.push_back(job);
         }
     }
-    answer_ok(c, cmd, {{"cancelling", names_of(cmd.jobs)}, {"unknown", names_of(unknown)}});
+    answer_ok(c, cmd, {{"cancelled", cmd.jobs.size()}, {"unknown", names_of(unknown)}});
 }
 
 void resume_show_job(context& c, open_command& cmd)
@@ -237,7 +247,11 @@
 void on_list_jobs_read(context& c, open_command& cmd, const std::vector<row>& rows)
 {
     if (cmd.stage == command_stage::reading_back) {
-        answer_ok(c, cmd, {{"jobs", jobs_view(sort_rows(rows))}});
+        const auto& limit = std::get<list_jobs>(cmd.arrived.body).limit;
+        const bool is_full = cmd.jobs.size() >= limit;
+        answer_ok(
+            c, cmd,
+            {{"jobs", jobs_view(sort_rows(rows))}, {"next", is_full ? cmd.jobs.back().value : ""}});
         return;
     }
     cmd.jobs.clear();
@@ -245,7 +259,7 @@
         cmd.jobs.push_back(id);
     }
     if (cmd.jobs.empty()) {
-        answer_ok(c, cmd, {{"jobs", json::array()}});
+        answer_ok(c, cmd, {{"jobs", json::array()}, {"next", ""}});
         return;
     }
     send_read(c, cmd, read_of(cmd.jobs), command_stage::reading_back);
--- a/src/commands_views.cpp
+++ b/src/commands_views.cpp
@@ -64,6 +64,39 @@
     }
 }
 
+/// \return the newest heartbeat of the scheduler's holder in `fd`, or null.
+const peer_heartbeat* holder_beat(const context& c, const failure_domain_id& fd)
+{
+    for (const auto& [id, peer] : c.s.membership.peers) {
+        if (peer.last.failure_domain == fd && peer.last.is_holder) {
+            return &peer.last;
+        }
+    }
+    return nullptr;
+}
+
+/// Adds holder and task counts, as far as they are known under the configuration in force.
+void add_scheduler(const context& c, const failure_domain_id& fd, json& line)
+{
+    const auto& own = c.s.scheduler;
+    if (fd == c.s.self.failure_domain && own.lease.role == lease_role::holder && own.recovered) {
+        line["holder"] = c.s.self.vm.value;
+        line["running"] = count_assigned(own.book);
+        line["waiting"] = own.book.waiting.size();
+        return;
+    }
+    const auto* beat = holder_beat(c, fd);
+    if (beat == nullptr) {
+        return;
+    }
+    line["holder"] = beat->from.value;
+    // Counts from before the newest change would call a failure domain empty that is not.
+    if (beat->version >= c.s.configuration.current.version) {
+        line["running"] = beat->assigned_tasks;
+        line["waiting"] = beat->waiting_tasks;
+    }
+}
+
 json domains_view(const context& c)
 {
     std::map<failure_domain_id, domain_counts> domains;
@@ -75,27 +108,17 @@
     }
     json list = json::array();
     for (const auto& [fd, counts] : domains) {
-        list.push_back({{"id", fd.value},
-                        {"in_service", c.s.configuration.current.is_in_service(fd)},
-                        {"entry_vms", counts.entry_vms},
-                        {"workers", counts.workers},
-                        {"runners", counts.runners}});
+        json line{{"failure_domain", fd.value},
+                  {"in_service", c.s.configuration.current.is_in_service(fd)},
+                  {"entry_vms", counts.entry_vms},
+                  {"workers", counts.workers},
+                  {"runners", counts.runners}};
+        add_scheduler(c, fd, line);
+        list.push_back(std::move(line));
     }
     return list;
 }
 
-json scheduler_view(const context& c)
-{
-    const auto& own = c.s.scheduler;
-    std::size_t assigned = 0;
-    for (const auto& [worker, tasks] : own.book.on_worker) {
-        assigned += tasks.size();
-    }
-    return {{"role", name_of(own.lease.role)},     {"holder", own.lease.seen.holder.value},
-            {"epoch", own.lease.seen.epoch.value}, {"last_log_index", own.lease.seen.last.value},
-            {"jobs", own.book.jobs.size()},        {"assigned_tasks", assigned}};
-}
-
 } // namespace
 
 json configuration_view(const context& c)
@@ -107,16 +130,22 @@
 
 json status_view(const context& c)
 {
+    const auto& own = c.s.scheduler;
     return {{"vm", c.s.self.vm.value},
             {"failure_domain", c.s.self.failure_domain.value},
             {"stopping", c.s.stopping},
-            {"configuration_version", c.s.configuration.current.version.value},
+            {"version", c.s.configuration.current.version.value},
             {"preset", cuminmoor::name_of(c.s.configuration.current.active_preset)},
             {"confirmed_age_ms", (c.now - c.s.configuration.confirmed_at).count},
             {"peers", c.s.membership.peers.size()},
             {"open_requests", c.s.requests.open.size()},
-            {"scheduler", scheduler_view(c)},
-            {"failure_domains", domains_view(c)}};
+            {"lease_role", name_of(own.lease.role)},
+            {"holder", own.lease.seen.holder.value},
+            {"epoch", own.lease.seen.epoch.value},
+            {"last_log_index", own.lease.seen.last.value},
+            {"running", count_assigned(own.book)},
+            {"waiting", own.book.waiting.size()},
+            {"domains", domains_view(c)}};
 }
 
 json vms_view(const context& c)
--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -257,6 +257,15 @@
     return std::visit([&book](const auto& r) { return apply(book, r); }, record);
 }
 
+std::size_t count_assigned(const ledger& book)
+{
+    std::size_t count = 0;
+    for (const auto& [worker, tasks] : book.on_worker) {
+        count += tasks.size();
+    }
+    return count;
+}
+
 const task_entry* find_task(const ledger& book, const task_id& id)
 {
     const auto job = book.jobs.find(id.job);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -29,6 +29,16 @@
     c.out.add(vm_list_read{}, c.now + config::store_timeout);
 }
 
+/// What the sender says of the failure domain's scheduler.
+void add_scheduler(peer_heartbeat& beat, const scheduler_state& scheduler)
+{
+    beat.lease_holder = scheduler.lease.seen.holder;
+    beat.epoch = scheduler.lease.seen.epoch;
+    beat.is_holder = scheduler.lease.role == lease_role::holder && scheduler.recovered;
+    beat.assigned_tasks = static_cast<std::uint32_t>(count_assigned(scheduler.book));
+    beat.waiting_tasks = static_cast<std::uint32_t>(scheduler.book.waiting.size());
+}
+
 peer_heartbeat make_heartbeat(context& c)
 {
     auto& own = c.s.membership;
@@ -41,8 +51,7 @@
     beat.version = c.s.configuration.current.version;
     beat.confirmed_age = c.now - c.s.configuration.confirmed_at;
     beat.waiting_requests = waiting_requests(c.s.requests);
-    beat.lease_holder = c.s.scheduler.lease.seen.holder;
-    beat.epoch = c.s.scheduler.lease.seen.epoch;
+    add_scheduler(beat, c.s.scheduler);
     for (const auto& vm : own.leaving) {
         if (beat.leaving_vms.size() < config::max_leaving_per_heartbeat) {
             beat.leaving_vms.push_back(vm);
