Requests: notice own pauses, hung runners and late dispatches

Cause: after a pause the process used slots that others had taken over meanwhile, and runners that had begun to leave; a hung runner got its whole share again after each back-off, and its idempotent requests waited until their deadlines.

--- a/include/cuminmoor/backend_pool.h
+++ b/include/cuminmoor/backend_pool.h
@@ -19,7 +19,7 @@
     /// Dispatches that this entry VM may have under way there; 0: no new work.
     std::int64_t allowed{0};
     std::int64_t in_flight{0};
-    /// Failures since the last answer.
+    /// Failures since the last answer. While there are any, it gets one request at a time.
     std::uint32_t failures{0};
     /// Gets no new work before.
     instant backoff_until{-1};
--- a/include/cuminmoor/config.h
+++ b/include/cuminmoor/config.h
@@ -97,6 +97,10 @@
 /// First pause of a backend server that refused or lost a request; doubles up to the cap.
 inline constexpr millis backend_backoff_base{100};
 inline constexpr millis backend_backoff_cap{3'000};
+/// An idempotent request is tried elsewhere when its dispatch takes this many times the usual.
+inline constexpr std::int64_t attempt_timeout_service_times{8};
+/// Lower bound of that time.
+inline constexpr millis min_attempt_timeout{250};
 /// Dispatches of one request, the first one included.
 inline constexpr std::uint32_t max_dispatches{4};
 inline constexpr std::uint32_t max_spills{2};
--- a/include/cuminmoor/request.h
+++ b/include/cuminmoor/request.h
@@ -34,7 +34,8 @@
     traffic_handle handle;
 };
 
-/// Effect: send the request to a runner, or to an entry VM of another failure domain.
+/// Effect: send the request to a runner, or to an entry VM of another failure domain. Answered by
+/// one `dispatch_ended`; when it is dropped because its time is over, with `not_sent`.
 struct request_dispatch {
     traffic_handle handle;
     dispatch_handle dispatch;
@@ -49,7 +50,8 @@
     body_text body;
 };
 
-/// Effect: give up waiting for a dispatch; its connection is closed, never used again.
+/// Effect: give up waiting for a dispatch; its connection is closed, never used again. A
+/// `dispatch_ended` that still comes for it is ignored.
 struct request_drop_dispatch {
     dispatch_handle dispatch;
 };
@@ -58,11 +60,13 @@
 enum class dispatch_outcome : std::uint8_t {
     /// The whole answer is here and names this request.
     answered,
-    /// The backend server said that it did not run it.
+    /// The backend server said that it did not run it; from an entry VM, any code for which
+    /// `is_certainly_not_run` holds.
     refused,
     /// No byte of it was sent.
     not_sent,
-    /// Sent, and no whole answer came: it may have run.
+    /// Sent, and no whole answer came: it may have run. From an entry VM also every code that is
+    /// neither `ok` nor certainly not run.
     lost,
 };
 
--- a/include/cuminmoor/requests.h
+++ b/include/cuminmoor/requests.h
@@ -143,6 +143,8 @@
     std::size_t seen_vms{0};
     std::size_t seen_leaving{0};
     bool seen_any{false};
+    /// Last full refresh; a long gap means that this process was paused.
+    instant refreshed_at;
     /// Live runners of this failure domain by service, in the order of their ids.
     std::map<service_id, std::vector<vm_id>> runners;
     /// Failure domains that have live runners of a service, the own one left out.
--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -2,6 +2,8 @@
 /// Backend servers ordered by load: one list for each number of dispatches in flight.
 #include "cuminmoor/backend_pool.h"
 
+#include <algorithm>
+
 namespace cuminmoor {
 
 void backend_pool::assign(const std::map<vm_id, std::int64_t>& allowances)
@@ -75,6 +77,7 @@
 {
     if (const auto i = find(id)) {
         backends_[*i].failures = 0;
+        relist(*i);
     }
 }
 
@@ -150,7 +153,8 @@
     if (b.listed) {
         unlist(index);
     }
-    if (b.in_flight < b.allowed && !b.backing_off) {
+    const std::int64_t limit = b.failures > 0 ? std::min<std::int64_t>(b.allowed, 1) : b.allowed;
+    if (b.in_flight < limit && !b.backing_off) {
         list(index);
     }
 }
--- a/src/requests.cpp
+++ b/src/requests.cpp
@@ -130,13 +130,10 @@
 
 void handle_requests(context& c, const event& e)
 {
+    requests::refresh_routes(c, false, false);
     std::visit(overloaded{[&](const tick&) { requests::on_tick(c); },
                           [&](const vm_list_done& l) { requests::refresh_routes(c, l.ok, true); },
-                          [&](const peer_received&) { requests::refresh_routes(c, false, false); },
-                          [&](const request_arrived& a) {
-                              requests::refresh_routes(c, false, false);
-                              requests::on_arrived(c, a);
-                          },
+                          [&](const request_arrived& a) { requests::on_arrived(c, a); },
                           [&](const request_abandoned& a) { requests::on_abandoned(c, a); },
                           [&](const dispatch_ended& d) { requests::on_dispatch_ended(c, d); },
                           [&](const store_committed& d) { requests::on_claim_committed(c, d); },
--- a/src/requests_dispatch.cpp
+++ b/src/requests_dispatch.cpp
@@ -133,6 +133,44 @@
     send_dispatch(c, r, *runner, false);
 }
 
+/// When a dispatch is looked at first: an idempotent request need not wait for a hung runner.
+instant first_look(const context& c, const open_request& r)
+{
+    if (!r.arrived.idempotent || r.to_entry_vm) {
+        return r.arrived.deadline;
+    }
+    const auto service = c.s.requests.services.find(r.arrived.service);
+    const millis usual = service->second.time.likely(c.now);
+    const millis timeout =
+        std::max(config::min_attempt_timeout, usual * config::attempt_timeout_service_times);
+    return std::min(r.arrived.deadline, c.now + timeout);
+}
+
+void drop_dispatch(context& c, open_request& r)
+{
+    c.s.counters.add("dispatch_dropped");
+    c.out.add(request_drop_dispatch{r.dispatch});
+    hold_slot(c, r);
+    back_off(c, r);
+    r.may_have_run = true;
+}
+
+/// A dispatch of an idempotent request takes unusually long, and the deadline is still ahead.
+void try_elsewhere(context& c, open_request& r)
+{
+    auto& service = c.s.requests.services[r.arrived.service];
+    const auto other = service.runners.choose(0, r.sent_to);
+    const bool possible = !r.answered && r.tries < config::max_dispatches && other &&
+                          *other != r.sent_to && service.retries.spend();
+    if (!possible) {
+        set_wake(c, r, r.arrived.deadline);
+        return;
+    }
+    c.s.counters.add("request_retry_timeout");
+    drop_dispatch(c, r);
+    route(c, r);
+}
+
 } // namespace
 
 bool is_unreachable(const context& c, const service_state& service, instant deadline, millis wait,
@@ -167,7 +205,7 @@
     r.to_entry_vm = to_entry_vm;
     r.sent_at = c.now;
     ++r.tries;
-    set_wake(c, r, r.arrived.deadline);
+    set_wake(c, r, first_look(c, r));
     pool_of(c, r).take(to);
     c.out.add(request_dispatch{.handle = r.arrived.handle,
                                .dispatch = r.dispatch,
@@ -211,6 +249,10 @@
 void on_dispatch_overdue(context& c, open_request& r)
 {
     const instant last = r.arrived.deadline + config::dispatch_linger;
+    if (c.now < r.arrived.deadline) {
+        try_elsewhere(c, r);
+        return;
+    }
     if (c.now < last) {
         give_answer(c, r,
                     {.handle = r.arrived.handle,
@@ -221,10 +263,7 @@
         set_wake(c, r, last);
         return;
     }
-    c.s.counters.add("dispatch_dropped");
-    c.out.add(request_drop_dispatch{r.dispatch});
-    hold_slot(c, r);
-    back_off(c, r);
+    drop_dispatch(c, r);
     finish_unknown(c, r, "sent, and no answer came; it may have run");
 }
 
--- a/src/requests_internal.h
+++ b/src/requests_internal.h
@@ -32,7 +32,7 @@
 
 /// Brings runners, slots and spill targets up to date.
 /// \param list_read true when the platform's list was read in this step.
-/// \param full false: only when a VM was added or began to leave.
+/// \param full false: only when a VM was added or began to leave, or this process was paused.
 void refresh_routes(context& c, bool list_read, bool full);
 
 // requests_admission.cpp: where a request goes.
@@ -54,7 +54,8 @@
 void pump(context& c, const service_id& service);
 void send_dispatch(context& c, open_request& r, const vm_id& to, bool to_entry_vm);
 void on_dispatch_ended(context& c, const dispatch_ended& d);
-/// The deadline of a dispatched request has passed, or the time after it in which it lingers.
+/// A dispatch takes unusually long, its deadline has passed, or the time after it in which it
+/// lingers.
 void on_dispatch_overdue(context& c, open_request& r);
 /// Frees the slots of lost dispatches whose time is over.
 void release_held_slots(context& c);
--- a/src/requests_routes.cpp
+++ b/src/requests_routes.cpp
@@ -82,9 +82,6 @@
         if ((owned & bit) != 0 && (slots.owned & bit) == 0) {
             slots.usable_at.at(n) = usable;
         }
-        else if ((owned & bit) != 0 && alone) {
-            slots.usable_at.at(n) = std::min(slots.usable_at.at(n), c.now);
-        }
     }
     slots.owned = owned;
 }
@@ -190,6 +187,18 @@
     }
 }
 
+/// While this process was paused its slots went to others, and runners may have begun to leave:
+/// nothing is sent until it has heard of them.
+void rest_after_pause(context& c)
+{
+    auto& routes = c.s.requests.routes;
+    c.s.counters.add("request_pause_noticed");
+    for (auto& [runner, slots] : routes.slots) {
+        slots.usable_at.fill(c.now + config::slot_handover);
+    }
+    routes.next_slot_change = c.now;
+}
+
 } // namespace
 
 void refresh_routes(context& c, bool list_read, bool full)
@@ -198,9 +207,14 @@
     const bool listed = list_read || !routes.seen_any ||
                         routes.seen_vms != c.s.membership.vms.size() ||
                         routes.seen_leaving != c.s.membership.leaving.size();
-    if (!listed && !full) {
+    const bool paused = routes.seen_any && c.now - routes.refreshed_at >= config::peer_timeout;
+    if (!listed && !full && !paused) {
         return;
     }
+    routes.refreshed_at = c.now;
+    if (paused) {
+        rest_after_pause(c);
+    }
     if (listed) {
         collect_from_list(c);
     }
--- a/tests/test_request_histories.cpp
+++ b/tests/test_request_histories.cpp
@@ -96,6 +96,19 @@
     }
 }
 
+Test(request_histories, leaving_runner_gets_no_work_after_a_few_seconds)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        ct::history_options options;
+        options.seed = seed;
+        options.requests = 1'000;
+        options.runner_leaves = true;
+        options.faults.peer_message_lost = 100;
+        options.faults.vm_pause = seed % 2 == 0 ? 3 : 0;
+        expect_sound(options);
+    }
+}
+
 Test(request_histories, checks_notice_a_store_without_preconditions)
 {
     ct::history_options options;
