--- a/src/requests_routes.cpp
+++ b/src/requests_routes.cpp
@@ -2,8 +2,8 @@
 /// What follows from the membership: runners, the share of their slots, where to spill to.
 #include <algorithm>
 
+#include "cuminmoor/slot_shares.h"
 #include "requests_internal.h"
-#include "slot_shares.h"
 
 namespace cuminmoor::requests {
 
--- a/src/slot_shares.cpp
+++ b/src/slot_shares.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Rendezvous hashing of runner slots with quotas.
-#include "slot_shares.h"
+#include "cuminmoor/slot_shares.h"
 
 #include <algorithm>
 #include <numeric>
--- a/tests/request_driver.cpp
+++ b/tests/request_driver.cpp
@@ -194,7 +194,9 @@
     ++runs_[d.caller.value + "/" + d.id.value];
     ++result_.attempts[attempt_of_[d.handle]].runs;
     const auto took = pick(options_.service_ms / 2, options_.service_ms * 3 / 2);
-    after(took, [this, vm, d] { finish_run(vm, d); });
+    if (!r.hangs) {
+        after(took, [this, vm, d] { finish_run(vm, d); });
+    }
 }
 
 void request_driver::finish_run(std::size_t vm, const request_dispatch& d)
@@ -334,6 +336,7 @@
         });
     }
     after(end_ms_ / 2, [this] {
+        runners_.begin()->second.hangs = options_.runner_hangs;
         if (options_.runner_leaves) {
             runners_.begin()->second.leaving_at = now_;
         }
--- a/tests/request_driver.h
+++ b/tests/request_driver.h
@@ -61,6 +61,8 @@
     unsigned repeat_permille{300};
     /// A runner of the first failure domain begins to leave in the middle.
     bool runner_leaves{false};
+    /// A runner of the first failure domain answers nothing any more from the middle on.
+    bool runner_hangs{false};
     /// Operators take the first failure domain out in the middle.
     bool domain_out{false};
     fault_rates faults;
@@ -107,6 +109,7 @@
         failure_domain_id failure_domain;
         std::int64_t in_flight{0};
         instant leaving_at{never};
+        bool hangs{false};
     };
     struct timer {
         instant at;
--- a/tests/test_request_histories.cpp
+++ b/tests/test_request_histories.cpp
@@ -96,6 +96,22 @@
     }
 }
 
+Test(request_histories, hung_runner_costs_no_idempotent_request_its_deadline)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        ct::history_options options;
+        options.seed = seed;
+        options.failure_domains = 1;
+        options.requests = 1'000;
+        options.non_idempotent_permille = 0;
+        options.min_deadline_ms = 2'000;
+        options.runner_hangs = true;
+        const auto result = ct::request_driver{options}.run();
+        cr_assert(result.violations.empty());
+        cr_assert_geq(result.good, options.requests * 99 / 100, "%zu", result.good);
+    }
+}
+
 Test(request_histories, leaving_runner_gets_no_work_after_a_few_seconds)
 {
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
