--- a/src/records_job.cpp
+++ b/src/records_job.cpp
@@ -7,6 +7,13 @@
 
 namespace cuminmoor {
 
+namespace {
+
+/// Ten years in milliseconds; sums of such times stay far from overflow.
+constexpr number_range job_time_range{0, 10LL * 365 * 24 * 3'600 * 1'000};
+
+} // namespace
+
 nlohmann::json job_to_json(const job_spec& spec)
 {
     return {{"id", spec.id.value},
@@ -85,8 +92,8 @@
     read_work_class(r, spec.kind);
     r.optional_number("tasks", spec.tasks, {1, config::max_tasks_per_job});
     read_size(r, "task_size", spec.task_size);
-    r.optional_number("run_time_ms", spec.run_time.count, {});
-    r.optional_number("deadline_ms", spec.deadline.count, {});
+    r.optional_number("run_time_ms", spec.run_time.count, job_time_range);
+    r.optional_number("deadline_ms", spec.deadline.count, job_time_range);
     r.optional_name("job_class", spec.job_class);
     r.optional_text("command", spec.command, max_command_bytes);
     if (auto fault = r.finish(); !fault.ok()) {
