--- a/daemon/io_limits.h
+++ b/daemon/io_limits.h
@@ -29,7 +29,7 @@
 /// below it; this is the last resort.
 inline constexpr long connections_per_backend{config::connections_per_runner / 8};
 /// Most connections to the platform or to one worker.
-inline constexpr long connections_for_control{32};
+inline constexpr long connections_for_control{64};
 /// Idle connections older than this are not used again.
 inline constexpr millis client_connection_age{30'000};
 inline constexpr millis client_connect_timeout{1'000};
--- a/daemon/peer_codec.cpp
+++ b/daemon/peer_codec.cpp
@@ -43,6 +43,15 @@
     in(cereal::binary_data(text.data(), text.size()));
 }
 
+/// Names from outside go into keys and logs.
+void read_name(reader& in, std::string& name)
+{
+    read(in, name);
+    if (!is_name_or_empty(name)) {
+        throw std::invalid_argument{"not a name"};
+    }
+}
+
 void write(writer& out, const vm_id& id)
 {
     write(out, id.value);
@@ -50,7 +59,7 @@
 
 void read(reader& in, vm_id& id)
 {
-    read(in, id.value);
+    read_name(in, id.value);
 }
 
 void write(writer& out, const numbered_change& c)
@@ -109,7 +118,7 @@
 void read(reader& in, peer_heartbeat& m)
 {
     read(in, m.from);
-    read(in, m.failure_domain.value);
+    read_name(in, m.failure_domain.value);
     std::uint8_t leaving{0};
     in(m.incarnation, m.sequence, leaving, m.version.value, m.confirmed_age.count);
     m.leaving = leaving != 0;
@@ -140,7 +149,7 @@
 void read(reader& in, peer_inbox_hint& m)
 {
     read(in, m.from);
-    read(in, m.failure_domain.value);
+    read_name(in, m.failure_domain.value);
 }
 
 template <typename T>
--- a/daemon/worker_json.cpp
+++ b/daemon/worker_json.cpp
@@ -133,7 +133,9 @@
     for (const worker_order& order : sync.orders) {
         orders.push_back(std::visit([](const auto& o) { return encode_order(o); }, order));
     }
-    const json document{{"renew_for_ms", sync.renew_for.count}, {"orders", std::move(orders)}};
+    const json document{{"incarnation", sync.incarnation},
+                        {"renew_for_ms", sync.renew_for.count},
+                        {"orders", std::move(orders)}};
     return dump_json(document);
 }
 
--- /dev/null
+++ b/tests/test_daemon_settings.cpp
@@ -0,0 +1,72 @@
+/// \file
+/// Settings: flags beat the environment, and all faults are told at once.
+#include <criterion/criterion.h>
+
+#include <cstdlib>
+
+#include "settings.h"
+
+namespace io = cuminmoor::io;
+
+namespace {
+
+const std::vector<std::string> good{"--vm=e1", "--failure-domain=accra-east",
+                                    "--http-address=127.0.0.1:7000", "--peer-address=[::1]:7001",
+                                    "--platform=127.0.0.1:7002"};
+
+std::vector<std::string> good_and(const std::string& flag)
+{
+    auto flags = good;
+    flags.push_back(flag);
+    return flags;
+}
+
+bool mentions(const absl::Status& status, const std::string& text)
+{
+    return std::string{status.message()}.find(text) != std::string::npos;
+}
+
+} // namespace
+
+Test(settings, flags_fill_every_field)
+{
+    const auto s = io::parse_settings(good_and("--traffic-threads=3"));
+    cr_assert(s.ok());
+    cr_assert_eq(s->vm.value, "e1");
+    cr_assert_eq(s->peer.ip, "::1");
+    cr_assert_eq(s->http.port, 7000);
+    cr_assert_eq(s->platform, "127.0.0.1:7002");
+    cr_assert_eq(s->traffic_threads, 3);
+    cr_assert(s->mode == io::run_mode::serve);
+}
+
+Test(settings, environment_fills_what_no_flag_gives)
+{
+    setenv("CUMINMOOR_TRAFFIC_THREADS", "5", 1);
+    setenv("CUMINMOOR_VM", "from-environment", 1);
+    const auto s = io::parse_settings(good);
+    cr_assert(s.ok());
+    cr_assert_eq(s->traffic_threads, 5);
+    cr_assert_eq(s->vm.value, "e1");
+}
+
+Test(settings, all_faults_are_listed)
+{
+    const auto s =
+        io::parse_settings({"--vm=a/b", "--http-address=localhost:1", "--platform=1.2.3.4",
+                            "--traffic-threads=0", "--log-level=loud", "--colour=red"});
+    cr_assert(!s.ok());
+    for (const char* const name :
+         {"--vm", "--failure-domain is missing", "CUMINMOOR_FAILURE_DOMAIN", "localhost:1",
+          "--peer-address is missing", "--platform", "--traffic-threads", "--log-level",
+          "--colour"}) {
+        cr_assert(mentions(s.status(), name), "%s", name);
+    }
+}
+
+Test(settings, help_needs_nothing_else)
+{
+    cr_assert(io::parse_settings({"--help"})->mode == io::run_mode::help);
+    cr_assert(io::parse_settings(good_and("--check"))->mode == io::run_mode::check);
+    cr_assert(!io::parse_settings({"--check"}).ok());
+}
