Scheduler: tasks of services, and a test program for the time budgets

Cause: services declare latency-critical tasks that must keep running somewhere. Each failure domain keeps its share of them as a job that never ends; the share follows from the configuration and the list of workers, so that the holders agree without talking. One record, service_sized, sets the number; a task that ends by itself is started again. Ruled out: one never-ending job with the same name everywhere (the same attempt of one task would exist in two failure domains).

--- a/include/cuminmoor/job.h
+++ b/include/cuminmoor/job.h
@@ -54,6 +54,8 @@
     worker_gone,
     cancelled,
     domain_out,
+    /// A task of a service ended by itself; it is started again.
+    service_ended,
 };
 
 /// Where an attempt runs, or may run.
@@ -101,6 +103,8 @@
 struct job_entry {
     job_spec spec;
     bool cancelled{false};
+    /// Keeps `spec.tasks` tasks running for ever; tasks with a higher index are on their way out.
+    bool is_service{false};
     /// Order of admission in this failure domain.
     std::uint64_t sequence{0};
     /// Mirrors `tasks`.
@@ -170,14 +174,19 @@
 struct job_cancelled {
     job_id job;
 };
+/// The failure domain keeps this many tasks (`spec.tasks`, also 0) of a service running from now
+/// on.
+struct service_sized {
+    job_spec spec;
+};
 /// An ended job leaves the ledger; its summary row stays.
 struct job_forgotten {
     job_id job;
 };
 
-using ledger_record =
-    std::variant<job_admitted, task_moved_in, task_assigned, task_stop_ordered, task_released,
-                 task_finished, task_failed, task_moved_out, job_cancelled, job_forgotten>;
+using ledger_record = std::variant<job_admitted, task_moved_in, task_assigned, task_stop_ordered,
+                                   task_released, task_finished, task_failed, task_moved_out,
+                                   job_cancelled, job_forgotten, service_sized>;
 
 /// Place in the queue: latency-critical before batch, then by admission.
 struct queue_key {
--- a/src/ledger.cpp
+++ b/src/ledger.cpp
@@ -127,6 +127,45 @@
     return absl::OkStatus();
 }
 
+/// \return the phase of a task that is neither assigned nor ended.
+task_phase idle_phase(const job_entry& job, std::uint32_t index)
+{
+    const bool is_wanted = !job.cancelled && !(job.is_service && index >= job.spec.tasks);
+    return is_wanted ? task_phase::waiting : task_phase::cancelled;
+}
+
+/// Brings one task of a service into line with the number that is wanted.
+void resize_task(ledger& book, job_entry& job, std::uint32_t index, task_entry& task)
+{
+    if (!task.where) {
+        set_phase(book, {&job, &task}, {job.spec.id, index}, idle_phase(job, index));
+    }
+    else if (idle_phase(job, index) == task_phase::cancelled) {
+        task.where->stopping = true;
+        task.where->stop_cause = release_cause::cancelled;
+    }
+}
+
+absl::Status apply(ledger& book, const service_sized& r)
+{
+    const auto found = book.jobs.find(r.spec.id);
+    if (found != book.jobs.end() && !found->second.is_service) {
+        return contradiction(r.spec.id.value, "a job has the name of a service's tasks");
+    }
+    auto& job = found == book.jobs.end() ? add_job(book, r.spec, 0) : found->second;
+    job.is_service = true;
+    job.spec = r.spec;
+    for (auto& [index, task] : job.tasks) {
+        resize_task(book, job, index, task);
+    }
+    for (std::uint32_t i = 0; i < r.spec.tasks; ++i) {
+        if (!job.tasks.contains(i)) {
+            add_task(book, job, i, {});
+        }
+    }
+    return absl::OkStatus();
+}
+
 absl::Status apply(ledger& book, const task_assigned& r)
 {
     const auto at = locate(book, r.task);
@@ -185,7 +224,7 @@
         at.task->checkpoint = r.checkpoint;
     }
     drop_assignment(book, *at.task, r.task);
-    set_phase(book, at, r.task, at.job->cancelled ? task_phase::cancelled : task_phase::waiting);
+    set_phase(book, at, r.task, idle_phase(*at.job, r.task.index));
     return absl::OkStatus();
 }
 
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "cuminmoor/config.h"
 #include "cuminmoor/json_units.h"
 #include "cuminmoor/status.h"
 #include "records_json.h"
@@ -27,6 +28,7 @@
     cause_name{release_cause::worker_gone, "worker_gone"},
     cause_name{release_cause::cancelled, "cancelled"},
     cause_name{release_cause::domain_out, "domain_out"},
+    cause_name{release_cause::service_ended, "service_ended"},
 };
 
 json attempt_to_json(const char* kind, const task_id& task, std::uint32_t attempt)
@@ -86,6 +88,12 @@
 {
     return {{"k", "job_cancelled"}, {"job", r.job.value}};
 }
+json to_json(const service_sized& r)
+{
+    json spec = job_to_json(r.spec);
+    spec.erase("tasks");
+    return {{"k", "service_sized"}, {"spec", std::move(spec)}, {"tasks", r.spec.tasks}};
+}
 json to_json(const job_forgotten& r)
 {
     return {{"k", "job_forgotten"}, {"job", r.job.value}};
@@ -147,6 +155,11 @@
 {
     r.name("job", out.job.value);
 }
+void read(json_reader& r, service_sized& out)
+{
+    read_spec(r, out.spec);
+    r.number("tasks", out.spec.tasks, {0, config::max_tasks_per_job});
+}
 void read(json_reader& r, job_forgotten& out)
 {
     r.name("job", out.job.value);
@@ -182,6 +195,7 @@
     kind_row{"task_moved_out", read_as<task_moved_out>},
     kind_row{"job_cancelled", read_as<job_cancelled>},
     kind_row{"job_forgotten", read_as<job_forgotten>},
+    kind_row{"service_sized", read_as<service_sized>},
 };
 
 absl::StatusOr<ledger_record> read_record(const json& body)
--- a/src/records_ledger.cpp
+++ b/src/records_ledger.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// Text of a whole ledger, for the object store.
+#include "cuminmoor/config.h"
 #include "cuminmoor/json_units.h"
 #include "cuminmoor/status.h"
 #include "records_json.h"
@@ -41,8 +42,16 @@
 
 json entry_to_json(const job_entry& j)
 {
-    json body{{"spec", job_to_json(j.spec)}, {"cancelled", j.cancelled},  {"sequence", j.sequence},
-              {"evictions", j.evictions},    {"moved_to", json::array()}, {"at", j.submitted_at_s},
+    json spec = job_to_json(j.spec);
+    spec.erase("tasks");
+    json body{{"spec", spec},
+              {"declared", j.spec.tasks},
+              {"is_service", j.is_service},
+              {"cancelled", j.cancelled},
+              {"sequence", j.sequence},
+              {"evictions", j.evictions},
+              {"moved_to", json::array()},
+              {"at", j.submitted_at_s},
               {"tasks", json::array()}};
     for (const auto& fd : j.moved_to) {
         body["moved_to"].push_back(fd.value);
@@ -121,9 +130,11 @@
     json_reader r{body, "ledger job"};
     job_spec spec;
     read_spec(r, spec);
+    r.number("declared", spec.tasks, {0, config::max_tasks_per_job});
     auto& job = book.jobs[spec.id];
     job.spec = std::move(spec);
     r.optional_flag("cancelled", job.cancelled);
+    r.optional_flag("is_service", job.is_service);
     r.number("sequence", job.sequence, {});
     r.number("evictions", job.evictions, u32_range);
     r.number("at", job.submitted_at_s, {});
--- a/src/scheduler_commit.cpp
+++ b/src/scheduler_commit.cpp
@@ -119,6 +119,7 @@
     }
     collect_evidence(c, d);
     collect_inbox(c, d);
+    collect_services(c, d);
     collect_drain(c, d);
     collect_placement(c, d);
     collect_summaries(c, d);
--- a/src/scheduler_drain.cpp
+++ b/src/scheduler_drain.cpp
@@ -69,7 +69,8 @@
         if (d.is_full()) {
             return;
         }
-        if (d.is_free(key.task)) {
+        // Tasks of services belong to their failure domain; scheduler_services.cpp spreads them.
+        if (d.is_free(key.task) && !s.book.jobs.at(key.task.job).is_service) {
             move_task(c, d, key.task, targets[s.next_move++ % targets.size()]);
         }
     }
--- a/src/scheduler_evidence.cpp
+++ b/src/scheduler_evidence.cpp
@@ -68,6 +68,12 @@
 {
     const auto& a = *task.where;
     std::string checkpoint = newest_checkpoint(w, id, &report);
+    const bool has_ended =
+        report.status == task_status::finished || report.status == task_status::failed;
+    if (has_ended && c.s.scheduler.book.jobs.at(id.job).is_service) {
+        release(c, d, id, a, release_cause::service_ended, {});
+        return;
+    }
     switch (report.status) {
     case task_status::running:
         return;
--- a/src/scheduler_parts.h
+++ b/src/scheduler_parts.h
@@ -108,6 +108,10 @@
 /// tasks.
 void collect_drain(context& c, commit_draft& d);
 
+// scheduler_services.cpp
+/// Keeps the failure domain's share of each service's latency-critical tasks.
+void collect_services(context& c, commit_draft& d);
+
 // scheduler_placement.cpp
 /// Chooses which waiting tasks start where.
 void collect_placement(context& c, commit_draft& d);
--- a/src/scheduler_recovery.cpp
+++ b/src/scheduler_recovery.cpp
@@ -14,6 +14,7 @@
 {
     return std::visit(overloaded{
                           [](const job_admitted& r) { return r.spec.id; },
+                          [](const service_sized& r) { return r.spec.id; },
                           [](const job_cancelled& r) { return r.job; },
                           [](const job_forgotten& r) { return r.job; },
                           [](const auto& r) { return r.task.job; },
--- a/tests/scenario/fake_worker.cpp
+++ b/tests/scenario/fake_worker.cpp
@@ -52,7 +52,8 @@
     a.size = order.size;
     a.checkpoint = order.checkpoint;
     a.progress = parse_millis(order.checkpoint);
-    a.length = parse_millis(order.command);
+    const bool is_endless = order.command.starts_with("service");
+    a.length = is_endless ? millis{INT64_MAX / 4} : parse_millis(order.command);
     attempts.emplace(key, a);
 }
 
--- a/tests/scenario/scenario.cpp
+++ b/tests/scenario/scenario.cpp
@@ -158,6 +158,16 @@
         if (s[1] == "out") {
             w_.change(take_domain_out{{s[2]}});
         }
+        else if (s[1] == "service" && s.size() > 4) {
+            w_.change(put_service{{{s[2]},
+                                   {"kente"},
+                                   static_cast<std::uint32_t>(number(s[3])),
+                                   {number(s[4]) * 1'000, 1'024, 0},
+                                   0}});
+        }
+        else if (s[1] == "remove") {
+            w_.change(remove_service{{s[2]}});
+        }
         else if (s[1] == "in") {
             w_.change(bring_domain_in{{s[2]}});
         }
@@ -185,6 +195,17 @@
         const bool is_met = s.size() > 3 && n == static_cast<std::uint32_t>(number(s[3]));
         return is_met ? "" : absl::StrCat(s[2], " has ", n, " ", s[1]);
     }
+    std::int64_t count_running(const std::string& fd)
+    {
+        std::int64_t n = 0;
+        for (auto& [name, worker] : w_.workers) {
+            worker.run_until(w_.now());
+            for (const auto& [key, a] : worker.attempts) {
+                n += name.starts_with(fd) && a.status == task_status::running ? 1 : 0;
+            }
+        }
+        return n;
+    }
     std::string expect_idle(const std::string& fd)
     {
         for (auto& [name, worker] : w_.workers) {
@@ -214,6 +235,10 @@
         if (s[1] == "no_start") {
             return w_.check.starts_in({s[2]}) == marked_[s[2]] ? "" : "tasks were started";
         }
+        if (s[1] == "running" && s.size() > 3) {
+            const auto n = count_running(s[2]);
+            return n == number(s[3]) ? "" : absl::StrCat(n, " tasks run in ", s[2]);
+        }
         if (s[1] == "idle") {
             return expect_idle(s[2]);
         }
--- a/tests/scenario/scenario.h
+++ b/tests/scenario/scenario.h
@@ -15,9 +15,11 @@
 ///     at 1200 store none|down|lose_answers|slow 900
 ///     at 1200 delay_syncs 900
 ///     at 1200 operator out a | operator in a | operator preset peak
+///     at 1200 operator service s 6 8 | operator remove s      6 tasks of 8 cores
 ///     at 1200 mark                           forget the starts so far
 ///     at 1200 expect finished j 4            also failed, cancelled (tasks counted)
 ///     at 1200 expect leader a | expect no_leader a | expect no_start a | expect idle a
+///     at 1200 expect running a 3
 ///     at 1200 expect counter scheduler.recovered 2       at least
 #pragma once
 
--- a/tests/test_ledger.cpp
+++ b/tests/test_ledger.cpp
@@ -81,6 +81,23 @@
     cr_assert_eq(book.jobs.at({"j"}).tasks.at(0).checkpoint, "ck");
 }
 
+Test(ledger, a_smaller_service_lets_its_last_tasks_go)
+{
+    cm::ledger book;
+    cr_assert(apply(book, cm::service_sized{spec_of("s", 2)}));
+    cr_assert(apply(book, assign("s", 0, 1)));
+    cr_assert(apply(book, assign("s", 1, 1)));
+    cr_assert(apply(book, cm::service_sized{spec_of("s", 1)}));
+    cr_assert(book.jobs.at({"s"}).tasks.at(1).where->stopping);
+    for (std::uint32_t i = 0; i < 2; ++i) {
+        const cm::task_released ended{{{"s"}, i}, 1, cm::release_cause::service_ended, ""};
+        cr_assert(apply(book, ended));
+    }
+    cr_assert_eq(book.waiting.size(), 1, "the task that is still wanted starts again");
+    cr_assert(apply(book, cm::service_sized{spec_of("s", 2)}));
+    cr_assert_eq(book.waiting.size(), 2);
+}
+
 Test(ledger, survives_its_text)
 {
     cm::ledger book;
@@ -93,6 +110,7 @@
         cm::task_moved_out{{{"j"}, 2}, {"b"}},
         cm::task_moved_in{spec_of("k", 9), 8, {{"k"}, 3}, 2, "ck2"},
         cm::job_cancelled{{"k"}},
+        cm::service_sized{spec_of("service.s.a", 3)},
     };
     const auto decoded = cm::decode_records(cm::encode_records(records));
     cr_assert(decoded.ok());
--- /dev/null
+++ b/tests/test_scheduler_budgets.cpp
@@ -0,0 +1,112 @@
+/// \file
+/// Times that operators and owners are promised, over many seeds. Prints what it measured.
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <iostream>
+
+#include "scenario/world.h"
+
+namespace cm = cuminmoor;
+namespace sc = cuminmoor::scenario;
+
+namespace {
+
+constexpr std::uint64_t seeds{100};
+constexpr cm::millis longest_take_over{7'500};
+constexpr cm::millis longest_start{2'500};
+
+/// A failure domain that starts tasks all the time.
+void make_busy(sc::world& w)
+{
+    w.add_domain("a", 3, 4);
+    w.add_domain("b", 2, 2);
+    w.run_for({3'000});
+    w.submit("j", "a", 2'000, {300}, 8);
+}
+
+struct spread {
+    std::vector<std::int64_t> ms;
+
+    void print(const char* what)
+    {
+        std::sort(ms.begin(), ms.end());
+        std::cout << what << ": median " << ms[ms.size() / 2] << " ms, 99% "
+                  << ms[ms.size() * 99 / 100] << " ms, longest " << ms.back() << " ms, "
+                  << ms.size() << " seeds\n";
+    }
+};
+
+/// \return the time from `from` to the first start after it.
+cm::millis time_to_start(const sc::world& w, cm::instant from)
+{
+    const auto& starts = w.check.starts().at({"a"});
+    const auto next = std::upper_bound(starts.begin(), starts.end(), from);
+    return next == starts.end() ? cm::millis{1'000'000} : *next - from;
+}
+
+} // namespace
+
+Test(scheduler_budgets, next_start_after_the_leader_died)
+{
+    spread found;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        sc::world w{seed};
+        make_busy(w);
+        w.run_for({2'000 + static_cast<std::int64_t>(seed * 37 % 1'000)});
+        const cm::instant death = w.now();
+        w.kill(w.leader("a"));
+        w.run_for({12'000});
+        cr_assert(w.check.violation().empty(), "%s", w.check.violation().c_str());
+        // A start order may still have been on its way.
+        found.ms.push_back((time_to_start(w, death + cm::millis{50}) + cm::millis{50}).count);
+    }
+    found.print("leader killed to next start");
+    cr_assert_leq(found.ms.back(), longest_take_over.count);
+}
+
+Test(scheduler_budgets, last_start_after_the_domain_was_taken_out)
+{
+    spread found;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        sc::world w{seed};
+        make_busy(w);
+        w.run_for({2'000 + static_cast<std::int64_t>(seed * 37 % 1'000)});
+        w.change(cm::take_domain_out{{"a"}});
+        w.run_for({5'000});
+        cr_assert(w.check.violation().empty(), "%s", w.check.violation().c_str());
+        found.ms.push_back(w.check.longest_start_after_out().count);
+    }
+    found.print("domain out to last start");
+}
+
+Test(scheduler_budgets, last_start_after_a_worker_was_leaving)
+{
+    spread found;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        sc::world w{seed};
+        make_busy(w);
+        w.run_for({2'000 + static_cast<std::int64_t>(seed * 37 % 1'000)});
+        w.leave("aw1");
+        w.run_for({8'000});
+        cr_assert(w.check.violation().empty(), "%s", w.check.violation().c_str());
+        found.ms.push_back(w.check.longest_start_after_leaving().count);
+    }
+    found.print("worker leaving to last start");
+}
+
+Test(scheduler_budgets, submission_to_start)
+{
+    spread found;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        sc::world w{seed};
+        w.add_domain("a", 3, 4);
+        w.run_for({5'000 + static_cast<std::int64_t>(seed * 37 % 1'000)});
+        const cm::instant submitted = w.now();
+        w.submit("j", "a", 4, {300}, 8);
+        w.run_for({5'000});
+        found.ms.push_back(time_to_start(w, submitted).count);
+    }
+    found.print("submission to start, without an inbox hint");
+    cr_assert_leq(found.ms.back(), longest_start.count);
+}
