Codec test: another version than the current one is refused, whatever the current one is

Cause: heartbeats carry three more fields, so the datagrams' version went from 1 to 2, which the test used as its unknown version. It now takes the current version plus one, and checks the new fields.

--- a/tests/test_daemon_codecs.cpp
+++ b/tests/test_daemon_codecs.cpp
@@ -55,6 +55,9 @@
     sent.sequence = 8;
     sent.leaving = true;
     sent.version = {9};
+    sent.is_holder = true;
+    sent.assigned_tasks = 21'600;
+    sent.waiting_tasks = 7;
     sent.confirmed_age = cm::millis{-3};
     sent.leaving_vms = {{"r1"}, {"r2"}};
     sent.waiting_requests = 10;
@@ -68,6 +71,7 @@
     cr_assert(beat.from == sent.from && beat.failure_domain == sent.failure_domain);
     cr_assert(beat.incarnation == 7 && beat.sequence == 8 && beat.leaving);
     cr_assert(beat.version == sent.version && beat.confirmed_age == sent.confirmed_age);
+    cr_assert(beat.is_holder && beat.assigned_tasks == 21'600 && beat.waiting_tasks == 7);
     cr_assert(beat.leaving_vms == sent.leaving_vms && beat.waiting_requests == 10);
     cr_assert(beat.lease_holder == sent.lease_holder && beat.epoch == sent.epoch);
 }
@@ -91,7 +95,7 @@
     }
     cr_assert(!io::decode_datagram(bytes + "x").ok());
     std::string other_version = bytes;
-    other_version[3] = 2;
+    ++other_version[3];
     cr_assert(!io::decode_datagram(other_version).ok());
 }
 
