--- a/tests/test_daemon_api.cpp
+++ b/tests/test_daemon_api.cpp
@@ -42,7 +42,8 @@
     std::future<io::http_result> start(io::http_call call)
     {
         auto done = std::make_shared<std::promise<io::http_result>>();
-        client->start(std::move(call), [done](io::http_result r) { done->set_value(r); });
+        client->start(std::move(call),
+                      [done](io::http_result r) { done->set_value(std::move(r)); });
         return done->get_future();
     }
     void answer(const cm::request_answer& a)
