--- a/ctl/domain_commands.cpp
+++ b/ctl/domain_commands.cpp
@@ -32,12 +32,12 @@
 {
     given.expect_no_operands();
     return [](const session& s) {
-        return report_table(s, s.entries.call(reading_call("/v1/status")), "domains",
-                            {{"DOMAIN", "failure_domain"},
+        return report_table(s, s.entries.call(reading_call("/v1/status")), "failure_domains",
+                            {{"DOMAIN", "id"},
                              {"IN_SERVICE", "in_service"},
-                             {"SCHEDULER", "holder"},
-                             {"RUNNING", "running"},
-                             {"WAITING", "waiting"}});
+                             {"ENTRY_VMS", "entry_vms"},
+                             {"WORKERS", "workers"},
+                             {"RUNNERS", "runners"}});
     };
 }
 
@@ -51,7 +51,7 @@
          "out",
          "DOMAIN",
          "take a failure domain out of service",
-         {expected, {"wait", "", "wait until no task runs there"}},
+         {expected, {"wait", "", "wait until no task is assigned there"}},
          prepare_out},
         {"domain", "in", "DOMAIN", "bring a failure domain back", {expected}, prepare_in},
         {"domain", "status", "", "show the failure domains", {}, prepare_status},
--- a/ctl/job_commands.cpp
+++ b/ctl/job_commands.cpp
@@ -37,6 +37,8 @@
     auto call = posting_call("/v1/jobs", {{"job", read_job(given, id)},
                                           {"failure_domain", given.text("failure-domain")}});
     call.headers["X-Caller"] = given.required_text("caller", "name the job's owner");
+    // The job's id tells a repeat from a second job.
+    call.repeatable = true;
     const bool wait = given.has("wait");
     return [call, id, wait](const session& s) {
         const auto code = report_done(s, s.entries.call(call), absl::StrCat("job ", id, " taken"));
@@ -59,13 +61,14 @@
         return report_table(s, s.entries.call(reading_call(target)), "jobs",
                             {{"JOB", "id"},
                              {"TEAM", "team"},
-                             {"KIND", "kind"},
-                             {"TASKS", "tasks"},
-                             {"WAITING", "waiting"},
-                             {"RUNNING", "running"},
-                             {"FINISHED", "finished"},
-                             {"FAILED", "failed"},
-                             {"CANCELLED", "cancelled"}});
+                             {"PHASE", "phase"},
+                             {"TASKS", "declared_tasks"},
+                             {"WAITING", "tasks.waiting"},
+                             {"ASSIGNED", "tasks.assigned"},
+                             {"FINISHED", "tasks.finished"},
+                             {"FAILED", "tasks.failed"},
+                             {"CANCELLED", "tasks.cancelled"},
+                             {"EVICTIONS", "evictions"}});
     };
 }
 
--- a/ctl/preset_commands.cpp
+++ b/ctl/preset_commands.cpp
@@ -88,7 +88,7 @@
          "PRESET",
          "put a preset in force",
          {{"expected", "VERSION", "change only from this version"},
-          {"wait", "", "wait until every entry VM given by --entry has it"}},
+          {"wait", "", "wait until every live entry VM has it"}},
          prepare_use},
     };
 }
--- a/ctl/view_commands.cpp
+++ b/ctl/view_commands.cpp
@@ -43,22 +43,22 @@
     if (!result.ok() || s.as_json || !result.json.is_object()) {
         return report_done(s, result, result.body);
     }
-    if (result.json.contains("requests")) {
-        print_table(s.out, result.json["requests"],
-                    {{"CALLER", "caller"},
-                     {"REQUEST", "request"},
-                     {"STATE", "state"},
-                     {"ENTRY_VM", "entry_vm"}});
-    }
-    if (result.json.contains("jobs")) {
-        print_table(s.out, result.json["jobs"],
-                    {{"JOB", "id"},
-                     {"TEAM", "team"},
-                     {"TASKS", "tasks"},
-                     {"FINISHED", "finished"},
-                     {"FAILED", "failed"},
-                     {"CANCELLED", "cancelled"},
-                     {"EVICTIONS", "evictions"}});
+    print_table(s.out, result.json.value("requests", nlohmann::json::array()),
+                {{"REQUEST", "request"},
+                 {"SERVICE", "service"},
+                 {"STATUS", "status"},
+                 {"HTTP_STATUS", "http_status"}});
+    print_table(s.out, result.json.value("jobs", nlohmann::json::array()),
+                {{"JOB", "job"},
+                 {"DOMAIN", "failure_domain"},
+                 {"TEAM", "team"},
+                 {"OWNER", "owner"},
+                 {"FINISHED", "finished"},
+                 {"FAILED", "failed"},
+                 {"CANCELLED", "cancelled"},
+                 {"EVICTIONS", "evictions"}});
+    if (!result.json.value("complete", true)) {
+        s.err << "warning: the list is not complete; ask for one team or caller at a time\n";
     }
     return exit_code::ok;
 }
--- a/ctl/wait.cpp
+++ b/ctl/wait.cpp
@@ -22,12 +22,6 @@
                : 0;
 }
 
-bool flag_at(const nlohmann::json& object, const char* field)
-{
-    const auto found = object.is_object() ? object.find(field) : object.end();
-    return object.is_object() && found != object.end() && found->is_boolean() && found->get<bool>();
-}
-
 /// A failed look ends the wait only when waiting cannot mend it.
 wait_step failed_look(const entry_result& result)
 {
@@ -39,55 +33,84 @@
     return step;
 }
 
+std::string text_at(const nlohmann::json& object, const char* field)
+{
+    const auto found = object.is_object() ? object.find(field) : object.end();
+    return object.is_object() && found != object.end() && found->is_string()
+               ? found->get<std::string>()
+               : std::string{};
+}
+
+nlohmann::json part_of(const nlohmann::json& object, const char* field)
+{
+    return object.is_object() ? object.value(field, nlohmann::json{}) : nlohmann::json{};
+}
+
 wait_step look_at_job(const session& s, const std::string& job)
 {
     const auto result = s.entries.call(reading_call("/v1/jobs/" + escape_url(job)));
     if (!result.ok()) {
         return failed_look(result);
     }
-    const auto finished = count_at(result.json, "finished");
-    const auto tasks = count_at(result.json, "tasks");
+    const auto tasks = part_of(result.json, "tasks");
+    const auto phase = text_at(result.json, "phase");
     wait_step step;
-    step.progress = absl::StrCat("job ", job, ": ", finished, " of ", tasks, " tasks finished, ",
-                                 count_at(result.json, "running"), " running, ",
-                                 count_at(result.json, "failed"), " failed");
-    if (flag_at(result.json, "done")) {
-        step.ended = finished == tasks ? exit_code::ok : exit_code::job_not_finished;
+    step.progress =
+        absl::StrCat("job ", job, " ", phase, ": ", count_at(tasks, "finished"), " of ",
+                     count_at(result.json, "declared_tasks"), " tasks finished, ",
+                     count_at(tasks, "assigned"), " assigned, ", count_at(tasks, "failed"),
+                     " failed, ", count_at(tasks, "cancelled"), " cancelled");
+    if (phase == "finished") {
+        step.ended = exit_code::ok;
+    }
+    if (phase == "failed" || phase == "cancelled") {
+        step.ended = exit_code::job_not_finished;
     }
     return step;
 }
 
+/// Addresses of the live entry VMs, of one failure domain or of all.
+std::vector<std::string> live_entries(const session& s, const std::string& failure_domain)
+{
+    std::vector<std::string> found;
+    const auto result = s.entries.call(reading_call("/v1/vms"));
+    for (const auto& vm : part_of(result.json, "vms")) {
+        const bool wanted =
+            failure_domain.empty() || text_at(vm, "failure_domain") == failure_domain;
+        if (wanted && text_at(vm, "role") == "entry" && text_at(vm, "phase") == "live") {
+            found.push_back(text_at(vm, "http"));
+        }
+    }
+    return found;
+}
+
 wait_step look_at_versions(const session& s, std::int64_t version)
 {
+    const auto entries = live_entries(s, "");
     std::size_t reached = 0;
-    for (const auto& entry : s.entries.entries()) {
+    for (const auto& entry : entries) {
         const auto result = s.entries.call_one(entry, reading_call("/v1/status"));
-        if (result.ok() && count_at(result.json, "version") >= version) {
+        if (result.ok() && count_at(result.json, "configuration_version") >= version) {
             ++reached;
         }
     }
     wait_step step;
     step.progress = absl::StrCat("configuration version ", version, " in force on ", reached,
-                                 " of ", s.entries.entries().size(), " entry VMs");
-    if (reached == s.entries.entries().size()) {
+                                 " of ", entries.size(), " live entry VMs");
+    if (!entries.empty() && reached == entries.size()) {
         step.ended = exit_code::ok;
     }
     return step;
 }
 
-/// \return the status line of the failure domain as any entry VM tells it, or null.
-nlohmann::json domain_line(const session& s, const std::string& failure_domain)
+/// \return what the holder of the failure domain's scheduler lease says of its scheduler, or null.
+nlohmann::json scheduler_line(const session& s, const std::string& failure_domain)
 {
-    for (const auto& entry : s.entries.entries()) {
+    for (const auto& entry : live_entries(s, failure_domain)) {
         const auto result = s.entries.call_one(entry, reading_call("/v1/status"));
-        if (!result.ok() || !result.json.is_object()) {
-            continue;
-        }
-        const auto domains = result.json.value("domains", nlohmann::json::array());
-        for (const auto& line : domains) {
-            if (cell_text(line, "failure_domain") == failure_domain && line.contains("running")) {
-                return line;
-            }
+        auto scheduler = part_of(result.json, "scheduler");
+        if (result.ok() && text_at(scheduler, "role") == "holder") {
+            return scheduler;
         }
     }
     return nullptr;
@@ -95,16 +118,16 @@
 
 wait_step look_at_domain(const session& s, const std::string& failure_domain)
 {
-    const auto line = domain_line(s, failure_domain);
+    const auto scheduler = scheduler_line(s, failure_domain);
     wait_step step;
-    if (line.is_null()) {
-        step.progress = absl::StrCat("no entry VM tells what runs in ", failure_domain,
-                                     "; name one of that failure domain with --entry");
+    if (scheduler.is_null()) {
+        step.progress = absl::StrCat("no reachable entry VM holds the scheduler lease of ",
+                                     failure_domain, "; its tasks cannot be counted");
         return step;
     }
-    const auto running = count_at(line, "running");
-    step.progress = absl::StrCat(failure_domain, ": ", running, " tasks running");
-    if (running == 0) {
+    const auto assigned = count_at(scheduler, "assigned_tasks");
+    step.progress = absl::StrCat(failure_domain, ": ", assigned, " tasks assigned to workers");
+    if (assigned == 0) {
         step.ended = exit_code::ok;
     }
     return step;
--- a/ctl/wait.h
+++ b/ctl/wait.h
@@ -25,10 +25,10 @@
 /// Waits until every task of the job has ended.
 exit_code wait_for_job(const session& s, const std::string& job);
 
-/// Waits until every entry VM named by --entry is at this version of the configuration, or newer.
+/// Waits until every live entry VM is at this version of the configuration, or newer.
 exit_code wait_for_version(const session& s, std::int64_t version);
 
-/// Waits until no task runs in the failure domain.
+/// Waits until the failure domain's scheduler holds no task on any worker.
 exit_code wait_for_drained_domain(const session& s, const std::string& failure_domain);
 
 } // namespace cuminmoor::ctl
--- a/tests/child_process.cpp
+++ b/tests/child_process.cpp
@@ -35,6 +35,7 @@
     std::vector<std::string> line{RUN_WITH_PARENT_PROGRAM, std::to_string(getpid()), program};
     line.insert(line.end(), words.begin(), words.end());
     std::vector<char*> raw;
+    raw.reserve(line.size() + 1);
     for (auto& word : line) {
         raw.push_back(word.data());
     }
--- a/tests/process_calls.cpp
+++ b/tests/process_calls.cpp
@@ -35,6 +35,11 @@
     return header == answer->headers.end() ? -1 : std::atoi(header->second.c_str()); // NOLINT
 }
 
+std::string echo_of(const std::string& caller, const std::string& id, const std::string& body)
+{
+    return "echo:" + caller + "/" + id + ":" + body;
+}
+
 http_result get(const std::string& address, const std::string& target)
 {
     http_request request;
@@ -115,7 +120,8 @@
     return wait_until(
         [&] {
             const auto job = show_job(entry, id);
-            return job.is_object() && standin::number_at(job, "finished") == tasks;
+            const auto counts = job.is_object() ? job.value("tasks", json{}) : json{};
+            return counts.is_object() && standin::number_at(counts, "finished") == tasks;
         },
         limit);
 }
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -150,6 +150,9 @@
 /// \return X-Result-Code of an answer, -1 when there is none.
 int code_of(const http_result& result);
 
+/// \return the body that a runner derives from a request.
+std::string echo_of(const std::string& caller, const std::string& id, const std::string& body);
+
 http_result get(const std::string& address, const std::string& target);
 http_result post(const std::string& address, const std::string& target, const json& body);
 
--- a/tests/process_thin_path_test.cpp
+++ b/tests/process_thin_path_test.cpp
@@ -16,7 +16,7 @@
         const auto id = "r" + std::to_string(i);
         const auto result = c.send_request(i % 2, "desk", id, "quote " + id, i % 3 == 0);
         cr_assert_eq(pt::code_of(result), 0, "code %d", pt::code_of(result));
-        cr_assert_eq(pt::body_of(result), "echo:desk/" + id + ":quote " + id);
+        cr_assert_eq(pt::body_of(result), pt::echo_of("desk", id, "quote " + id));
         cr_assert_eq(c.runs()["desk/" + id], 1);
     }
 }
--- a/tests/standins/standin_platform.cpp
+++ b/tests/standins/standin_platform.cpp
@@ -4,9 +4,12 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
+#include "absl/strings/str_split.h"
 #include "faults.h"
 #include "json_fields.h"
+#include "machine_settings.h"
 #include "platform_table.h"
 #include "standin_http.h"
 
@@ -46,6 +49,27 @@
         return connection_fate::answered;
     }
 
+    /// Changes the list as POST /control/vms asks.
+    void list_vms(const json& body)
+    {
+        for (const auto& vm : array_at(body, "put")) {
+            vms_[text_at(vm, "id")] = vm;
+        }
+        for (const auto& id : array_at(body, "remove")) {
+            if (id.is_string()) {
+                vms_.erase(id.get<std::string>());
+            }
+        }
+    }
+
+    [[nodiscard]] json counts() const
+    {
+        const auto& c = table_.counts();
+        return {{"commits", c.commits},           {"conflicts", c.conflicts},
+                {"rows_written", c.rows_written}, {"reads", c.reads},
+                {"rows_read", c.rows_read},       {"revision", table_.revision()}};
+    }
+
 private:
     http_reply serve(const http_call& call)
     {
@@ -59,7 +83,7 @@
             return object(call);
         }
         if (call.path == "/v1/vms") {
-            return reply_with(list_vms());
+            return reply_with(listed_vms());
         }
         return reply_with({{"error", "no such path"}}, 404);
     }
@@ -90,7 +114,7 @@
         return {200, found->second, {}, false};
     }
 
-    [[nodiscard]] json list_vms() const
+    [[nodiscard]] json listed_vms() const
     {
         auto list = json::array();
         for (const auto& [id, vm] : vms_) {
@@ -107,8 +131,8 @@
             return reply_with(json::object());
         }
         if (call.path == "/control/vms") {
-            change_vms(body);
-            return reply_with(list_vms());
+            list_vms(body);
+            return reply_with(listed_vms());
         }
         if (call.path == "/control/read") {
             // Tests look at rows here also while a fault is in force.
@@ -120,26 +144,6 @@
         return reply_with({{"error", "no such path"}}, 404);
     }
 
-    void change_vms(const json& body)
-    {
-        for (const auto& vm : array_at(body, "put")) {
-            vms_[text_at(vm, "id")] = vm;
-        }
-        for (const auto& id : array_at(body, "remove")) {
-            if (id.is_string()) {
-                vms_.erase(id.get<std::string>());
-            }
-        }
-    }
-
-    [[nodiscard]] json counts() const
-    {
-        const auto& c = table_.counts();
-        return {{"commits", c.commits},           {"conflicts", c.conflicts},
-                {"rows_written", c.rows_written}, {"reads", c.reads},
-                {"rows_read", c.rows_read},       {"revision", table_.revision()}};
-    }
-
     inline static const std::string objects_prefix = "/v1/objects/";
 
     http_host& host_;
@@ -149,15 +153,57 @@
     fault_switch faults_;
 };
 
-int serve_platform(const endpoint& at)
+namespace po = boost::program_options;
+
+po::options_description platform_flags()
+{
+    po::options_description flags{"standin_platform"};
+    auto add = flags.add_options();
+    add("http", po::value<std::string>()->default_value(""), "address, a.b.c.d:port");
+    add("entry", po::value<std::vector<std::string>>()->default_value({}, ""),
+        "an entry VM in the list: NAME,FAILURE_DOMAIN,HTTP,PEER; may be repeated");
+    return flags;
+}
+
+/// Reads "NAME,FAILURE_DOMAIN,HTTP,PEER".
+absl::StatusOr<json> parse_entry_vm(const std::string& text)
+{
+    constexpr std::size_t parts_of_entry = 4;
+    const std::vector<std::string> parts = absl::StrSplit(text, ',');
+    if (parts.size() != parts_of_entry) {
+        return absl::InvalidArgumentError("--entry: \"" + text +
+                                          "\": write it as NAME,FAILURE_DOMAIN,HTTP,PEER");
+    }
+    return json{
+        {"id", parts[0]},   {"role", "entry"},  {"phase", "live"}, {"failure_domain", parts[1]},
+        {"http", parts[2]}, {"peer", parts[3]}, {"service", ""}};
+}
+
+absl::StatusOr<json> parse_entry_vms(const po::variables_map& values)
+{
+    auto list = json::array();
+    for (const auto& text : values["entry"].as<std::vector<std::string>>()) {
+        auto vm = parse_entry_vm(text);
+        if (!vm.ok()) {
+            return vm.status();
+        }
+        list.push_back(*std::move(vm));
+    }
+    return list;
+}
+
+int serve_platform(const endpoint& at, const json& entry_vms)
 {
     http_host host;
     platform service{host};
+    service.list_vms({{"put", entry_vms}});
     host.listen(at, [&service](const http_call& call, const reply_sender& send) {
         return service.handle(call, send);
     });
     host.when_ready([&at] { std::cout << "event=ready http=" << to_string(at) << std::endl; });
-    return host.run();
+    const int result = host.run();
+    std::cout << "event=ended counts=" << service.counts().dump() << std::endl;
+    return result;
 }
 
 } // namespace
@@ -166,14 +212,14 @@
 
 int main(int argc, char** argv)
 {
-    if (argc != 3 || std::string{argv[1]} != "--http") {
-        std::cerr << "usage: standin_platform --http a.b.c.d:port\n";
-        return 2;
-    }
-    const auto at = standin::parse_endpoint(argv[2]);
-    if (!at.ok()) {
-        std::cerr << at.status().message() << "\n";
+    const auto flags = standin::platform_flags();
+    const auto values = standin::parse_flags(argc, argv, flags);
+    const auto at = values.ok() ? standin::parse_endpoint((*values)["http"].as<std::string>())
+                                : values.status();
+    const auto entry_vms = at.ok() ? standin::parse_entry_vms(*values) : at.status();
+    if (!entry_vms.ok()) {
+        std::cerr << entry_vms.status().message() << "\n" << flags;
         return 2;
     }
-    return standin::serve_platform(*at);
+    return standin::serve_platform(*at, *entry_vms);
 }
--- a/tests/standins/standin_runner.cpp
+++ b/tests/standins/standin_runner.cpp
@@ -69,6 +69,22 @@
         return connection_fate::answered;
     }
 
+    /// What the runners ran, for tests.
+    [[nodiscard]] json history() const
+    {
+        auto runs = json::array();
+        std::int64_t most_busy = 0;
+        std::uint64_t over_slots = 0;
+        for (const auto& runner : runners_) {
+            most_busy = std::max(most_busy, runner.most_busy);
+            over_slots += runner.over_slots;
+            for (const auto& [key, count] : runner.runs) {
+                runs.push_back({{"caller", key.first}, {"request", key.second}, {"runs", count}});
+            }
+        }
+        return {{"runs", runs}, {"most_busy", most_busy}, {"over_slots", over_slots}};
+    }
+
 private:
     connection_fate run(runner_machine& runner, const http_call& call, const reply_sender& send)
     {
@@ -95,21 +111,6 @@
         return connection_fate::answered;
     }
 
-    [[nodiscard]] json history() const
-    {
-        auto runs = json::array();
-        std::int64_t most_busy = 0;
-        std::uint64_t over_slots = 0;
-        for (const auto& runner : runners_) {
-            most_busy = std::max(most_busy, runner.most_busy);
-            over_slots += runner.over_slots;
-            for (const auto& [key, count] : runner.runs) {
-                runs.push_back({{"caller", key.first}, {"request", key.second}, {"runs", count}});
-            }
-        }
-        return {{"runs", runs}, {"most_busy", most_busy}, {"over_slots", over_slots}};
-    }
-
     http_host& host_;
     std::vector<runner_machine> runners_;
     std::int64_t slots_;
@@ -138,7 +139,13 @@
                         return group.handle(i, call, send);
                     });
     }
-    return run_listed(host, machines, "runner", values["service"].as<std::string>());
+    const int result = run_listed(host, machines, "runner", values["service"].as<std::string>());
+    const auto history = group.history();
+    const auto repeated = std::count_if(history["runs"].begin(), history["runs"].end(),
+                                        [](const json& run) { return number_at(run, "runs") > 1; });
+    std::cout << "event=ended requests=" << history["runs"].size() << " repeated=" << repeated
+              << " over_slots=" << number_at(history, "over_slots") << std::endl;
+    return result;
 }
 
 } // namespace
--- a/tests/standins/standin_worker.cpp
+++ b/tests/standins/standin_worker.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// Stand-in for workers: many of them in one process, a port each.
+#include <algorithm>
 #include <chrono>
 #include <iostream>
 #include <vector>
@@ -60,6 +61,19 @@
         return connection_fate::answered;
     }
 
+    /// Every start on every worker, for tests.
+    json history()
+    {
+        auto starts = json::array();
+        std::int64_t expired = 0;
+        for (auto& each : workers_) {
+            const auto one = each.history(clock_ms());
+            starts.insert(starts.end(), one["starts"].begin(), one["starts"].end());
+            expired += number_at(one, "expired_starts");
+        }
+        return {{"starts", starts}, {"expired_starts", expired}, {"clock_ms", clock_ms()}};
+    }
+
 private:
     connection_fate sync(std::size_t index, const json& request, const reply_sender& send)
     {
@@ -84,18 +98,6 @@
         }
     }
 
-    json history()
-    {
-        auto starts = json::array();
-        std::int64_t expired = 0;
-        for (auto& each : workers_) {
-            const auto one = each.history(clock_ms());
-            starts.insert(starts.end(), one["starts"].begin(), one["starts"].end());
-            expired += number_at(one, "expired_starts");
-        }
-        return {{"starts", starts}, {"expired_starts", expired}, {"clock_ms", clock_ms()}};
-    }
-
     http_host& host_;
     std::vector<worker_machine> workers_;
     fault_switch faults_;
@@ -123,7 +125,14 @@
                         return group.handle(i, call, send);
                     });
     }
-    return run_listed(host, machines, "worker", "");
+    const int result = run_listed(host, machines, "worker", "");
+    const auto history = group.history();
+    const auto finished =
+        std::count_if(history["starts"].begin(), history["starts"].end(),
+                      [](const json& start) { return text_at(start, "status") == "finished"; });
+    std::cout << "event=ended starts=" << history["starts"].size() << " finished=" << finished
+              << std::endl;
+    return result;
 }
 
 } // namespace
