--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -115,15 +115,6 @@
     return static_cast<double>(n) * 1'000 / static_cast<double>(measured_time.count);
 }
 
-std::size_t count_assigned(const ledger& book)
-{
-    std::size_t n = 0;
-    for (const auto& [worker, tasks] : book.on_worker) {
-        n += tasks.size();
-    }
-    return n;
-}
-
 run_result run_cluster(const measured_run& r)
 {
     const deployment d{"one", std::vector<std::string>(r.entry_vms, "tema-port"), r.workers};
