--- a/ctl/domain_commands.cpp
+++ b/ctl/domain_commands.cpp
@@ -32,12 +32,15 @@
 {
     given.expect_no_operands();
     return [](const session& s) {
-        return report_table(s, s.entries.call(reading_call("/v1/status")), "failure_domains",
-                            {{"DOMAIN", "id"},
+        return report_table(s, s.entries.call(reading_call("/v1/status")), "domains",
+                            {{"DOMAIN", "failure_domain"},
                              {"IN_SERVICE", "in_service"},
                              {"ENTRY_VMS", "entry_vms"},
                              {"WORKERS", "workers"},
-                             {"RUNNERS", "runners"}});
+                             {"RUNNERS", "runners"},
+                             {"SCHEDULER", "holder"},
+                             {"RUNNING", "running"},
+                             {"WAITING", "waiting"}});
     };
 }
 
--- a/ctl/wait.cpp
+++ b/ctl/wait.cpp
@@ -52,14 +52,14 @@
     if (!result.ok()) {
         return failed_look(result);
     }
-    const auto tasks = part_of(result.json, "tasks");
-    const auto phase = text_at(result.json, "phase");
+    const auto& job_view = result.json;
+    const auto phase = text_at(job_view, "phase");
     wait_step step;
     step.progress =
-        absl::StrCat("job ", job, " ", phase, ": ", count_at(tasks, "finished"), " of ",
-                     count_at(result.json, "declared_tasks"), " tasks finished, ",
-                     count_at(tasks, "assigned"), " assigned, ", count_at(tasks, "failed"),
-                     " failed, ", count_at(tasks, "cancelled"), " cancelled");
+        absl::StrCat("job ", job, " ", phase, ": ", count_at(job_view, "finished"), " of ",
+                     count_at(job_view, "tasks"), " tasks finished, ",
+                     count_at(job_view, "running"), " running, ", count_at(job_view, "failed"),
+                     " failed, ", count_at(job_view, "cancelled"), " cancelled");
     if (phase == "finished") {
         step.ended = exit_code::ok;
     }
@@ -90,7 +90,7 @@
     std::size_t reached = 0;
     for (const auto& entry : entries) {
         const auto result = s.entries.call_one(entry, reading_call("/v1/status"));
-        if (result.ok() && count_at(result.json, "configuration_version") >= version) {
+        if (result.ok() && count_at(result.json, "version") >= version) {
             ++reached;
         }
     }
@@ -103,14 +103,13 @@
     return step;
 }
 
-/// \return what the holder of the failure domain's scheduler lease says of its scheduler, or null.
-nlohmann::json scheduler_line(const session& s, const std::string& failure_domain)
+/// \return the status of the holder of the failure domain's scheduler lease, or null.
+nlohmann::json holder_status(const session& s, const std::string& failure_domain)
 {
     for (const auto& entry : live_entries(s, failure_domain)) {
         const auto result = s.entries.call_one(entry, reading_call("/v1/status"));
-        auto scheduler = part_of(result.json, "scheduler");
-        if (result.ok() && text_at(scheduler, "role") == "holder") {
-            return scheduler;
+        if (result.ok() && text_at(result.json, "lease_role") == "holder") {
+            return result.json;
         }
     }
     return nullptr;
@@ -118,14 +117,14 @@
 
 wait_step look_at_domain(const session& s, const std::string& failure_domain)
 {
-    const auto scheduler = scheduler_line(s, failure_domain);
+    const auto holder = holder_status(s, failure_domain);
     wait_step step;
-    if (scheduler.is_null()) {
+    if (holder.is_null()) {
         step.progress = absl::StrCat("no reachable entry VM holds the scheduler lease of ",
                                      failure_domain, "; its tasks cannot be counted");
         return step;
     }
-    const auto assigned = count_at(scheduler, "assigned_tasks");
+    const auto assigned = count_at(holder, "running");
     step.progress = absl::StrCat(failure_domain, ": ", assigned, " tasks assigned to workers");
     if (assigned == 0) {
         step.ended = exit_code::ok;
--- a/tests/process_calls.cpp
+++ b/tests/process_calls.cpp
@@ -35,9 +35,15 @@
     return header == answer->headers.end() ? -1 : std::atoi(header->second.c_str()); // NOLINT
 }
 
-std::string echo_of(const std::string& caller, const std::string& id, const std::string& body)
+std::string echo_of(const caller_request& request)
 {
-    return "echo:" + caller + "/" + id + ":" + body;
+    return "echo:" + request.caller + "/" + request.id + ":" + request.body;
+}
+
+std::int64_t clock_ms()
+{
+    const auto now = std::chrono::steady_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(now).count();
 }
 
 http_result get(const std::string& address, const std::string& target)
@@ -59,19 +65,18 @@
     return cuminmoor::ctl::exchange_http(request);
 }
 
-http_result cluster::send_request(std::size_t entry, const std::string& caller,
-                                  const std::string& id, const std::string& body,
-                                  bool idempotent) const
+http_result cluster::send_request(std::size_t entry, const caller_request& request) const
 {
-    http_request request;
-    request.method = "POST";
-    request.url =
-        "http://" + entries_[entry].http + "/v1/services/" + options_.service + "/requests";
-    request.headers = {
-        {"X-Caller", caller}, {"X-Request-Id", id}, {"X-Idempotent", idempotent ? "1" : "0"}};
-    request.body = body;
-    request.timeout = call_timeout;
-    return cuminmoor::ctl::exchange_http(request);
+    http_request sent;
+    sent.method = "POST";
+    sent.url = "http://" + entries_[entry].http + "/v1/services/" + options_.service + "/requests";
+    sent.headers = {{"X-Caller", request.caller},
+                    {"X-Request-Id", request.id},
+                    {"X-Deadline-Ms", std::to_string(request.deadline.count())},
+                    {"X-Idempotent", request.idempotent ? "1" : "0"}};
+    sent.body = request.body;
+    sent.timeout = call_timeout;
+    return cuminmoor::ctl::exchange_http(sent);
 }
 
 http_result cluster::change_configuration(std::size_t entry, const json& change) const
@@ -93,7 +98,7 @@
     int tries = 0;
     return wait_until([&] {
         const auto id = "warm-" + std::to_string(entry) + "-" + std::to_string(++tries);
-        return code_of(send_request(entry, "warm", id, "x", true)) == 0;
+        return code_of(send_request(entry, {"warm", id, "x", true})) == 0;
     });
 }
 
@@ -114,14 +119,24 @@
     return code_of(shown) == 0 ? standin::parse_json(body_of(shown)) : json{};
 }
 
+bool cluster::tasks_run(std::size_t count) const
+{
+    return wait_until([&] {
+        const auto all = starts();
+        const auto running = std::count_if(all.begin(), all.end(), [](const start_record& start) {
+            return start.status == "running";
+        });
+        return static_cast<std::size_t>(running) >= count;
+    });
+}
+
 bool cluster::job_finishes(std::size_t entry, const std::string& id, unsigned tasks,
                            milliseconds limit) const
 {
     return wait_until(
         [&] {
             const auto job = show_job(entry, id);
-            const auto counts = job.is_object() ? job.value("tasks", json{}) : json{};
-            return counts.is_object() && standin::number_at(counts, "finished") == tasks;
+            return job.is_object() && standin::number_at(job, "finished") == tasks;
         },
         limit);
 }
@@ -165,14 +180,21 @@
     return faults;
 }
 
-std::map<std::string, int> count_ended(const std::vector<start_record>& starts,
-                                       const std::string& status)
+std::string faults_in_finished_job(const std::vector<start_record>& starts, const std::string& job,
+                                   unsigned tasks)
 {
-    std::map<std::string, int> counted;
-    for (const auto& start : starts) {
-        counted[start.task] += start.status == status ? 1 : 0;
+    auto faults = faults_in(starts);
+    for (unsigned i = 0; i < tasks; ++i) {
+        const auto task = job + "/" + std::to_string(i);
+        const auto finished =
+            std::count_if(starts.begin(), starts.end(), [&task](const start_record& start) {
+                return start.task == task && start.status == "finished";
+            });
+        if (finished != 1) {
+            faults += task + " finished " + std::to_string(finished) + " times\n";
+        }
     }
-    return counted;
+    return faults;
 }
 
 } // namespace process_test
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -40,6 +40,15 @@
     milliseconds service_time{5};
 };
 
+/// What a caller sends.
+struct caller_request {
+    std::string caller;
+    std::string id;
+    std::string body;
+    bool idempotent{false};
+    milliseconds deadline{10'000};
+};
+
 /// One entry VM and its process.
 struct entry_vm {
     std::string name;
@@ -61,6 +70,7 @@
     std::int64_t end_ms{0};
     /// Progress that it began with.
     std::int64_t resumed_at_ms{0};
+    std::int64_t progress_ms{0};
 };
 
 class cluster {
@@ -88,16 +98,19 @@
     /// Puts a fault on the runners of a failure domain.
     void set_runner_fault(const std::string& failure_domain, const std::string& kind,
                           milliseconds delay = milliseconds{0}, int permille = 1'000) const;
+    /// Lists runner number `index` of a failure domain with another phase.
+    void set_runner_phase(const std::string& failure_domain, unsigned index,
+                          const std::string& phase) const;
     [[nodiscard]] json platform_counts() const;
     /// \return rows of the table whose key begins with `prefix`.
     [[nodiscard]] json table_rows(const std::string& prefix) const;
 
     /// Sends one caller's request through an entry VM.
-    [[nodiscard]] http_result send_request(std::size_t entry, const std::string& caller,
-                                           const std::string& id, const std::string& body,
-                                           bool idempotent) const;
+    [[nodiscard]] http_result send_request(std::size_t entry, const caller_request& request) const;
     /// \return runs by "caller/request id", of all runners.
     [[nodiscard]] std::map<std::string, std::int64_t> runs() const;
+    /// \return number of requests that one runner ran.
+    [[nodiscard]] std::int64_t runs_on(const std::string& failure_domain, unsigned index) const;
     /// \return every start on every worker.
     [[nodiscard]] std::vector<start_record> starts() const;
 
@@ -112,6 +125,8 @@
                                          const std::string& failure_domain = "") const;
     /// \return the job as an entry VM shows it, or null.
     [[nodiscard]] json show_job(std::size_t entry, const std::string& id) const;
+    /// Waits until that many attempts run on workers.
+    [[nodiscard]] bool tasks_run(std::size_t count) const;
     /// Waits until a job shows that many tasks finished.
     [[nodiscard]] bool job_finishes(std::size_t entry, const std::string& id, unsigned tasks,
                                     milliseconds limit = milliseconds{60'000}) const;
@@ -130,6 +145,8 @@
     void start_platform();
     void start_workers(const std::string& failure_domain);
     void start_runners(const std::string& failure_domain);
+    /// \return the group, or null.
+    [[nodiscard]] const machine_group* runners_of(const std::string& failure_domain) const;
     void list_entry(const entry_vm& vm, const std::string& phase) const;
 
     cluster_options options_;
@@ -151,7 +168,10 @@
 int code_of(const http_result& result);
 
 /// \return the body that a runner derives from a request.
-std::string echo_of(const std::string& caller, const std::string& id, const std::string& body);
+std::string echo_of(const caller_request& request);
+
+/// \return the time on the clock that the workers' history uses.
+std::int64_t clock_ms();
 
 http_result get(const std::string& address, const std::string& target);
 http_result post(const std::string& address, const std::string& target, const json& body);
@@ -159,8 +179,8 @@
 /// \return what is wrong with the starts, one line each; empty when every task ran in one place at
 /// a time and none started again after it had finished.
 std::string faults_in(const std::vector<start_record>& starts);
-/// \return number of starts that ended so, by task.
-std::map<std::string, int> count_ended(const std::vector<start_record>& starts,
-                                       const std::string& status);
+/// \return what is wrong, as `faults_in`, and which of the job's tasks did not finish exactly once.
+std::string faults_in_finished_job(const std::vector<start_record>& starts, const std::string& job,
+                                   unsigned tasks);
 
 } // namespace process_test
--- a/tests/process_thin_path_test.cpp
+++ b/tests/process_thin_path_test.cpp
@@ -14,9 +14,10 @@
     cr_assert(c.serves_requests(1));
     for (int i = 0; i < 20; ++i) {
         const auto id = "r" + std::to_string(i);
-        const auto result = c.send_request(i % 2, "desk", id, "quote " + id, i % 3 == 0);
+        const pt::caller_request request{"desk", id, "quote", i % 3 == 0};
+        const auto result = c.send_request(i % 2, request);
         cr_assert_eq(pt::code_of(result), 0, "code %d", pt::code_of(result));
-        cr_assert_eq(pt::body_of(result), pt::echo_of("desk", id, "quote " + id));
+        cr_assert_eq(pt::body_of(result), pt::echo_of(request));
         cr_assert_eq(c.runs()["desk/" + id], 1);
     }
 }
@@ -27,13 +28,8 @@
     cr_assert(c.create_service());
     cr_assert_eq(pt::code_of(c.submit_job(0, "render", 4, "run 300")), 0);
     cr_assert(c.job_finishes(1, "render", 4));
-    const auto starts = c.starts();
-    cr_assert_eq(pt::faults_in(starts), "", "%s", pt::faults_in(starts).c_str());
-    const auto finished = pt::count_ended(starts, "finished");
-    cr_assert_eq(finished.size(), 4U);
-    for (const auto& [task, count] : finished) {
-        cr_assert_eq(count, 1, "%s finished %d times", task.c_str(), count);
-    }
+    const auto faults = pt::faults_in_finished_job(c.starts(), "render", 4);
+    cr_assert(faults.empty(), "%s", faults.c_str());
 }
 
 Test(thin_path, repeated_non_idempotent_request_runs_once)
@@ -42,8 +38,9 @@
     cr_assert(c.create_service());
     cr_assert(c.serves_requests(0));
     cr_assert(c.serves_requests(1));
-    const auto first = c.send_request(0, "hotel", "order-1", "40 screens", false);
-    const auto again = c.send_request(1, "hotel", "order-1", "40 screens", false);
+    const pt::caller_request order{"hotel", "order-1", "40 screens"};
+    const auto first = c.send_request(0, order);
+    const auto again = c.send_request(1, order);
     cr_assert_eq(pt::code_of(first), 0);
     cr_assert_eq(pt::body_of(again), pt::body_of(first));
     cr_assert_eq(c.runs()["hotel/order-1"], 1);
--- a/tests/standins/standin_runner.cpp
+++ b/tests/standins/standin_runner.cpp
@@ -27,6 +27,7 @@
     std::int64_t most_busy{0};
     /// Requests that came while every slot was taken; refused as not run.
     std::uint64_t over_slots{0};
+    std::uint64_t run_count{0};
     /// Runs by (caller, request id).
     std::map<std::pair<std::string, std::string>, std::uint64_t> runs;
 };
@@ -73,16 +74,21 @@
     [[nodiscard]] json history() const
     {
         auto runs = json::array();
+        auto by_runner = json::array();
         std::int64_t most_busy = 0;
         std::uint64_t over_slots = 0;
         for (const auto& runner : runners_) {
             most_busy = std::max(most_busy, runner.most_busy);
             over_slots += runner.over_slots;
+            by_runner.push_back(runner.run_count);
             for (const auto& [key, count] : runner.runs) {
                 runs.push_back({{"caller", key.first}, {"request", key.second}, {"runs", count}});
             }
         }
-        return {{"runs", runs}, {"most_busy", most_busy}, {"over_slots", over_slots}};
+        return {{"runs", runs},
+                {"by_runner", by_runner},
+                {"most_busy", most_busy},
+                {"over_slots", over_slots}};
     }
 
 private:
@@ -95,6 +101,7 @@
             send(not_run_reply(request_id));
             return connection_fate::answered;
         }
+        ++runner.run_count;
         ++runner.runs[{call.header("x-caller"), request_id}];
         if (fault == "reset") {
             return connection_fate::dropped;
