--- a/ctl/job_commands.cpp
+++ b/ctl/job_commands.cpp
@@ -62,12 +62,12 @@
                             {{"JOB", "id"},
                              {"TEAM", "team"},
                              {"PHASE", "phase"},
-                             {"TASKS", "declared_tasks"},
-                             {"WAITING", "tasks.waiting"},
-                             {"ASSIGNED", "tasks.assigned"},
-                             {"FINISHED", "tasks.finished"},
-                             {"FAILED", "tasks.failed"},
-                             {"CANCELLED", "tasks.cancelled"},
+                             {"TASKS", "tasks"},
+                             {"WAITING", "waiting"},
+                             {"RUNNING", "running"},
+                             {"FINISHED", "finished"},
+                             {"FAILED", "failed"},
+                             {"CANCELLED", "cancelled"},
                              {"EVICTIONS", "evictions"}});
     };
 }
--- a/tests/process_harness.cpp
+++ b/tests/process_harness.cpp
@@ -26,6 +26,11 @@
            std::to_string(1 + pid % byte_values) + ".1";
 }
 
+std::string runner_prefix(const std::string& failure_domain)
+{
+    return "runner-" + failure_domain + "-";
+}
+
 std::string flag(const std::string& name, const std::string& value)
 {
     return "--" + name + "=" + value;
@@ -100,7 +105,7 @@
 void cluster::start_runners(const std::string& failure_domain)
 {
     const auto at = next_address();
-    const auto name = "runner-" + failure_domain + "-";
+    const auto name = runner_prefix(failure_domain);
     runners_.push_back(
         {failure_domain, at,
          child_process{STANDIN_RUNNER_PROGRAM,
@@ -172,17 +177,50 @@
                {{"kind", kind}, {"ms", delay.count()}, {"permille", permille}});
 }
 
+const cluster::machine_group* cluster::runners_of(const std::string& failure_domain) const
+{
+    const auto found =
+        std::find_if(runners_.begin(), runners_.end(), [&](const machine_group& group) {
+            return group.failure_domain == failure_domain;
+        });
+    return found == runners_.end() ? nullptr : &*found;
+}
+
 void cluster::set_runner_fault(const std::string& failure_domain, const std::string& kind,
                                milliseconds delay, int permille) const
 {
-    for (const auto& group : runners_) {
-        if (group.failure_domain == failure_domain) {
-            (void)post(group.http, "/control/fault",
-                       {{"kind", kind}, {"ms", delay.count()}, {"permille", permille}});
+    if (const auto* const group = runners_of(failure_domain)) {
+        (void)post(group->http, "/control/fault",
+                   {{"kind", kind}, {"ms", delay.count()}, {"permille", permille}});
+    }
+}
+
+void cluster::set_runner_phase(const std::string& failure_domain, unsigned index,
+                               const std::string& phase) const
+{
+    const auto name = runner_prefix(failure_domain) + std::to_string(index + 1);
+    const auto listed = standin::parse_json(body_of(get(platform_http_, "/control/vms")));
+    for (auto vm : standin::array_at(listed, "vms")) {
+        if (standin::text_at(vm, "id") == name) {
+            vm["phase"] = phase;
+            (void)post(platform_http_, "/control/vms", {{"put", json::array({vm})}});
         }
     }
 }
 
+std::int64_t cluster::runs_on(const std::string& failure_domain, unsigned index) const
+{
+    const auto* const group = runners_of(failure_domain);
+    if (group == nullptr) {
+        return 0;
+    }
+    const auto history = standin::parse_json(body_of(get(group->http, "/control/history")));
+    const auto by_runner = standin::array_at(history, "by_runner");
+    return index < by_runner.size() && by_runner[index].is_number_integer()
+               ? by_runner[index].get<std::int64_t>()
+               : 0;
+}
+
 json cluster::platform_counts() const
 {
     return standin::parse_json(body_of(get(platform_http_, "/control/counts")));
@@ -219,7 +257,8 @@
                            standin::text_at(start, "task"), standin::number_at(start, "attempt"),
                            standin::text_at(start, "status"), standin::number_at(start, "start_ms"),
                            standin::number_at(start, "end_ms"),
-                           standin::number_at(start, "resumed_at_ms")});
+                           standin::number_at(start, "resumed_at_ms"),
+                           standin::number_at(start, "progress_ms")});
         }
     }
     return all;
--- a/tests/test_ctl.cpp
+++ b/tests/test_ctl.cpp
@@ -148,8 +148,7 @@
 Test(ctl, waiting_for_a_job_tells_failed_from_finished)
 {
     const auto taken = answer(200, 0, R"({"id":"j"})");
-    const auto failed = answer(
-        200, 0, R"({"phase":"failed","declared_tasks":2,"tasks":{"finished":1,"failed":1}})");
+    const auto failed = answer(200, 0, R"({"phase":"failed","tasks":2,"finished":1,"failed":1})");
     scripted_entries entries{{taken, failed}, {}};
     const auto got = run(
         {"job", "submit", "j", "--team=t", "--caller=c", "--command=run 1", "--tasks=2", "--wait"},
