--- a/daemon/effect_executor.h
+++ b/daemon/effect_executor.h
@@ -8,6 +8,7 @@
 #include "cuminmoor/effect.h"
 #include "cuminmoor/state.h"
 #include "event_sink.h"
+#include "log_limiter.h"
 #include "metrics.h"
 #include "open_calls.h"
 #include "peer_transport.h"
@@ -65,6 +66,7 @@
     void refuse(const request_dispatch& what);
 
     [[nodiscard]] std::string http_address_of(const vm_id& vm) const;
+    void log_end(const char* event_name, const open_call& call, result_code code);
 
     effect_targets targets_;
     clock_source& clock_;
@@ -73,6 +75,7 @@
     instant not_after_;
     const state* state_{nullptr};
     bool is_complete_{false};
+    log_limiter refusal_log_;
 };
 
 } // namespace cuminmoor::io
