--- a/daemon/api_handler.cpp
+++ b/daemon/api_handler.cpp
@@ -35,6 +35,10 @@
     call.kind = kind;
     call.respond = std::move(respond);
     call.connection = request.connection;
+    call.target = request.method + " " + request.path;
+    if (const std::string* const caller = find_header(request.headers, "X-Caller")) {
+        call.caller = *caller;
+    }
     call.arrived_at = measuring_clock::now();
     return call;
 }
--- a/daemon/effect_executor.cpp
+++ b/daemon/effect_executor.cpp
@@ -113,16 +113,36 @@
     }
     const auto whole = measuring_clock::now() - call->arrived_at;
     targets_.measured.request_added.add(whole - call->at_backend);
+    if (what.code != result_code::ok) {
+        log_end("request_not_answered", *call, what.code);
+    }
     call->respond(make_response(what, call->request_id));
 }
 
 void effect_executor::run(const command_answer& what)
 {
     if (auto call = targets_.calls.take(what.handle)) {
+        log_end("command_answered", *call, what.code);
         call->respond(make_response(what));
     }
 }
 
+void effect_executor::log_end(const char* event_name, const open_call& call, result_code code)
+{
+    const auto suppressed = refusal_log_.admit(clock_.now());
+    if (!suppressed) {
+        return;
+    }
+    std::vector<log_field> fields{{"request", call.request_id},
+                                  {"caller", call.caller},
+                                  {"target", call.target},
+                                  {"code", std::string{name_of(code)}}};
+    if (*suppressed > 0) {
+        fields.push_back({"suppressed", std::to_string(*suppressed)});
+    }
+    log_info(event_name, std::move(fields));
+}
+
 void effect_executor::run(const log_event& what)
 {
     log_info(what.name, what.fields);
