--- a/ctl/domain_commands.cpp
+++ b/ctl/domain_commands.cpp
@@ -35,6 +35,9 @@
         return report_table(s, s.entries.call(reading_call("/v1/status")), "domains",
                             {{"DOMAIN", "failure_domain"},
                              {"IN_SERVICE", "in_service"},
+                             {"ENTRY_VMS", "entry_vms"},
+                             {"WORKERS", "workers"},
+                             {"RUNNERS", "runners"},
                              {"SCHEDULER", "holder"},
                              {"RUNNING", "running"},
                              {"WAITING", "waiting"}});
@@ -51,7 +54,7 @@
          "out",
          "DOMAIN",
          "take a failure domain out of service",
-         {expected, {"wait", "", "wait until no task runs there"}},
+         {expected, {"wait", "", "wait until no task is assigned there"}},
          prepare_out},
         {"domain", "in", "DOMAIN", "bring a failure domain back", {expected}, prepare_in},
         {"domain", "status", "", "show the failure domains", {}, prepare_status},
--- a/daemon/open_calls.h
+++ b/daemon/open_calls.h
@@ -28,6 +28,10 @@
     connection_number connection{0};
     /// Repeated in the answer; empty for commands.
     std::string request_id;
+    /// Who sent it, as far as it said so; for the log.
+    std::string caller;
+    /// Method and path; for the log.
+    std::string target;
     measuring_clock::time_point arrived_at;
     /// Sum of the times for which it was with a backend server.
     measuring_clock::duration at_backend{0};
--- a/tests/standins/worker_machine.cpp
+++ b/tests/standins/worker_machine.cpp
@@ -98,6 +98,10 @@
 json worker_machine::sync(const json& request, std::int64_t now_ms)
 {
     advance(now_ms);
+    const auto meant_for = text_at(request, "incarnation");
+    if (!meant_for.empty() && meant_for != profile_.incarnation) {
+        return report(now_ms);
+    }
     const auto renew_ms = number_at(request, "renew_for_ms");
     for (auto& [key, run] : attempts_) {
         if (run.status == "running") {
--- a/tests/test_daemon_codecs.cpp
+++ b/tests/test_daemon_codecs.cpp
@@ -60,6 +60,9 @@
     sent.waiting_requests = 10;
     sent.lease_holder = {"e2"};
     sent.epoch = {11};
+    sent.is_holder = true;
+    sent.assigned_tasks = 12;
+    sent.waiting_tasks = 13;
     const auto bytes = io::encode_datagram(sent);
     cr_assert(bytes.ok());
     const auto got = io::decode_datagram(*bytes);
@@ -70,6 +73,7 @@
     cr_assert(beat.version == sent.version && beat.confirmed_age == sent.confirmed_age);
     cr_assert(beat.leaving_vms == sent.leaving_vms && beat.waiting_requests == 10);
     cr_assert(beat.lease_holder == sent.lease_holder && beat.epoch == sent.epoch);
+    cr_assert(beat.is_holder && beat.assigned_tasks == 12 && beat.waiting_tasks == 13);
 }
 
 Test(peer_codec, changes_come_back_whole)
@@ -90,9 +94,11 @@
         cr_assert(!io::decode_datagram(bytes.substr(0, size)).ok());
     }
     cr_assert(!io::decode_datagram(bytes + "x").ok());
-    std::string other_version = bytes;
-    other_version[3] = 2;
-    cr_assert(!io::decode_datagram(other_version).ok());
+    for (int i = 1; i < 256; ++i) {
+        std::string other_version = bytes;
+        other_version[3] = static_cast<char>(other_version[3] + i);
+        cr_assert(!io::decode_datagram(other_version).ok());
+    }
 }
 
 Test(peer_codec, what_is_not_a_name_is_refused)
