--- a/bench/bench_requests.cpp
+++ b/bench/bench_requests.cpp
@@ -91,19 +91,20 @@
 }
 
 /// 3 entry VMs and 4 runners: 32 slots of 40 ms, 800 requests a second.
-void print_goodput(double load, std::int64_t deadline_ms)
+void print_goodput(double load, std::int64_t deadline_ms, unsigned skew_permille)
 {
     ct::history_options o;
     o.failure_domains = 1;
     o.non_idempotent_permille = 0;
     o.repeat_permille = 0;
+    o.skew_permille = skew_permille;
     o.min_deadline_ms = deadline_ms;
     o.max_deadline_ms = deadline_ms;
     o.mean_gap_us = static_cast<std::int64_t>(1'250 / load);
     constexpr double seconds{10};
     o.requests = static_cast<std::size_t>(800 * load * seconds);
     const auto result = ct::request_driver{o}.run();
-    std::printf("%5.2f %8lld %9.0f", load, static_cast<long long>(deadline_ms),
+    std::printf("%5.2f %8lld %8u %9.0f", load, static_cast<long long>(deadline_ms), skew_permille,
                 static_cast<double>(result.good) / seconds);
     for (const char* code : {"refused_deadline_unreachable", "refused_queue_full",
                              "refused_caller_over_share", "ended_outcome_unknown"}) {
@@ -120,11 +121,14 @@
 int main()
 {
     print_costs();
-    std::printf("\n load deadline_ms good_per_s\n");
+    std::printf("\n load deadline_ms skew good_per_s\n");
     for (const std::int64_t deadline_ms : {100, 500, 5'000}) {
         for (const double load : {0.5, 0.8, 1.0, 1.2, 1.5, 2.0, 3.0}) {
-            print_goodput(load, deadline_ms);
+            print_goodput(load, deadline_ms, 0);
         }
     }
+    for (const double load : {0.5, 0.8, 1.5}) {
+        print_goodput(load, 500, 550);
+    }
     return 0;
 }
--- a/include/cuminmoor/config.h
+++ b/include/cuminmoor/config.h
@@ -94,6 +94,8 @@
 inline constexpr millis lost_slot_hold{1'000};
 /// Demand that an idle entry VM is counted with when slots are shared out.
 inline constexpr std::uint64_t demand_floor{16};
+/// Each entry VM counts with at least the mean demand divided by this.
+inline constexpr std::uint64_t mean_demand_divisor{4};
 /// First pause of a backend server that refused or lost a request; doubles up to the cap.
 inline constexpr millis backend_backoff_base{100};
 inline constexpr millis backend_backoff_cap{3'000};
--- a/include/cuminmoor/requests.h
+++ b/include/cuminmoor/requests.h
@@ -194,6 +194,10 @@
 /// \return the demand to report in heartbeats: requests waiting or under way, smoothed.
 std::uint32_t waiting_requests(const request_state& requests);
 
+/// \return true while this entry VM has slots of some service's runners but may use none of them
+/// yet, as after its start; it is not ready for load then.
+bool are_slots_resting(const request_state& requests);
+
 /// \return connections that this entry VM may keep open to one runner, so that all together stay
 /// within the runner's limit.
 std::int64_t connection_share(const request_state& requests);
--- a/src/requests.cpp
+++ b/src/requests.cpp
@@ -121,6 +121,14 @@
         std::min<std::uint64_t>(requests.announced_demand, UINT32_MAX));
 }
 
+bool are_slots_resting(const request_state& requests)
+{
+    return std::any_of(requests.services.begin(), requests.services.end(), [&](const auto& entry) {
+        return requests.routes.runners.contains(entry.first) && entry.second.runners.slots() == 0 &&
+               requests.routes.next_slot_change != never;
+    });
+}
+
 std::int64_t connection_share(const request_state& requests)
 {
     const auto members = static_cast<std::int64_t>(requests.routes.members.size());
--- a/src/requests_routes.cpp
+++ b/src/requests_routes.cpp
@@ -42,6 +42,22 @@
     return c.now - peer.heard_at <= config::peer_timeout;
 }
 
+/// An entry VM that is new or idle keeps a part of an even share, ready for when load comes.
+std::vector<slot_member> with_floor(const std::map<vm_id, std::uint64_t>& weights)
+{
+    std::uint64_t total = 0;
+    for (const auto& [id, weight] : weights) {
+        total += weight;
+    }
+    const std::uint64_t floor = total / weights.size() / config::mean_demand_divisor;
+    std::vector<slot_member> members;
+    members.reserve(weights.size());
+    for (const auto& [id, weight] : weights) {
+        members.push_back({id, std::max(weight, floor)});
+    }
+    return members;
+}
+
 /// Entry VMs heard lately, leaving ones included, as they still have requests in flight. When none
 /// is heard but some are listed, this one may be cut off: all that are listed count evenly.
 std::vector<slot_member> current_members(const context& c)
@@ -63,12 +79,7 @@
     else {
         weights[c.s.self.vm] = config::demand_floor + own.announced_demand;
     }
-    std::vector<slot_member> members;
-    members.reserve(weights.size());
-    for (const auto& [id, weight] : weights) {
-        members.push_back({id, weight});
-    }
-    return members;
+    return with_floor(weights);
 }
 
 /// A slot that is new to this entry VM rests until its last owner knows of the change; one that is
--- a/tests/request_driver.cpp
+++ b/tests/request_driver.cpp
@@ -350,7 +350,7 @@
 
 void request_driver::send_request(const std::string& key, bool idempotent)
 {
-    const std::size_t vm = rng_() % vms_.size();
+    const std::size_t vm = chance(options_.skew_permille) ? 0 : rng_() % vms_.size();
     const traffic_handle handle{next_handle_++};
     const std::size_t index = result_.attempts.size();
     const instant deadline =
@@ -404,7 +404,7 @@
 void request_driver::make_trouble(std::size_t vm)
 {
     if (chance(options_.faults.vm_pause)) {
-        vms_[vm]->paused_until = now_ + millis{pick(100, 5'000)};
+        vms_[vm]->paused_until = now_ + millis{pick(100, 8'000)};
     }
     if (!chance(options_.faults.vm_crash)) {
         return;
--- a/tests/request_driver.h
+++ b/tests/request_driver.h
@@ -33,7 +33,7 @@
     unsigned abandoned{0};
     /// Per request: an entry VM dies and comes back empty.
     unsigned vm_crash{0};
-    /// Per request: an entry VM is paused for up to 5 s.
+    /// Per request: an entry VM is paused for up to 8 s.
     unsigned vm_pause{0};
 };
 
@@ -58,6 +58,8 @@
     std::int64_t min_deadline_ms{200};
     std::int64_t max_deadline_ms{3'000};
     unsigned non_idempotent_permille{500};
+    /// Requests that go to the first entry VM; the others go to any.
+    unsigned skew_permille{0};
     unsigned repeat_permille{300};
     /// A runner of the first failure domain begins to leave in the middle.
     bool runner_leaves{false};
--- a/tests/test_request_histories.cpp
+++ b/tests/test_request_histories.cpp
@@ -108,7 +108,7 @@
         options.runner_hangs = true;
         const auto result = ct::request_driver{options}.run();
         cr_assert(result.violations.empty());
-        cr_assert_geq(result.good, options.requests * 99 / 100, "%zu", result.good);
+        cr_assert_eq(result.good, options.requests, "%zu", result.good);
     }
 }
 
@@ -119,6 +119,7 @@
         options.seed = seed;
         options.requests = 1'000;
         options.runner_leaves = true;
+        options.max_deadline_ms = 8'000;
         options.faults.peer_message_lost = 100;
         options.faults.vm_pause = seed % 2 == 0 ? 3 : 0;
         expect_sound(options);
--- a/tests/test_slot_shares.cpp
+++ b/tests/test_slot_shares.cpp
@@ -13,6 +13,7 @@
 std::vector<cm::vm_id> make_runners(int count)
 {
     std::vector<cm::vm_id> runners;
+    runners.reserve(static_cast<std::size_t>(count));
     for (int n = 0; n < count; ++n) {
         runners.push_back({"runner-" + std::to_string(n)});
     }
@@ -22,6 +23,7 @@
 std::vector<cm::slot_member> make_members(int count)
 {
     std::vector<cm::slot_member> members;
+    members.reserve(static_cast<std::size_t>(count));
     for (int n = 0; n < count; ++n) {
         members.push_back({{"entry-" + std::to_string(n)}, 16});
     }
