--- a/daemon/peer_codec.cpp
+++ b/daemon/peer_codec.cpp
@@ -20,7 +20,7 @@
 namespace {
 
 constexpr std::string_view magic{"CMr"};
-constexpr char version{1};
+constexpr char version{2};
 constexpr std::size_t head_bytes{magic.size() + 1};
 
 using writer = cereal::PortableBinaryOutputArchive;
@@ -43,6 +43,15 @@
     in(cereal::binary_data(text.data(), text.size()));
 }
 
+/// Names from outside go into keys and logs.
+void read_name(reader& in, std::string& name)
+{
+    read(in, name);
+    if (!is_name_or_empty(name)) {
+        throw std::invalid_argument{"not a name"};
+    }
+}
+
 void write(writer& out, const vm_id& id)
 {
     write(out, id.value);
@@ -50,7 +59,7 @@
 
 void read(reader& in, vm_id& id)
 {
-    read(in, id.value);
+    read_name(in, id.value);
 }
 
 void write(writer& out, const numbered_change& c)
@@ -103,20 +112,22 @@
     write_list(out, m.leaving_vms);
     out(m.waiting_requests);
     write(out, m.lease_holder);
-    out(m.epoch.value);
+    out(m.epoch.value, static_cast<std::uint8_t>(m.is_holder), m.assigned_tasks, m.waiting_tasks);
 }
 
 void read(reader& in, peer_heartbeat& m)
 {
     read(in, m.from);
-    read(in, m.failure_domain.value);
+    read_name(in, m.failure_domain.value);
     std::uint8_t leaving{0};
     in(m.incarnation, m.sequence, leaving, m.version.value, m.confirmed_age.count);
     m.leaving = leaving != 0;
     read_list(in, m.leaving_vms);
     in(m.waiting_requests);
     read(in, m.lease_holder);
-    in(m.epoch.value);
+    std::uint8_t is_holder{0};
+    in(m.epoch.value, is_holder, m.assigned_tasks, m.waiting_tasks);
+    m.is_holder = is_holder != 0;
 }
 
 void write(writer& out, const peer_changes& m)
@@ -140,7 +151,7 @@
 void read(reader& in, peer_inbox_hint& m)
 {
     read(in, m.from);
-    read(in, m.failure_domain.value);
+    read_name(in, m.failure_domain.value);
 }
 
 template <typename T>
--- a/tests/test_daemon_http_client.cpp
+++ b/tests/test_daemon_http_client.cpp
@@ -37,7 +37,8 @@
     io::http_result run(io::http_call call)
     {
         std::promise<io::http_result> done;
-        client->start(std::move(call), [&done](io::http_result r) { done.set_value(r); });
+        client->start(std::move(call),
+                      [&done](io::http_result r) { done.set_value(std::move(r)); });
         return done.get_future().get();
     }
 };
