--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -8,6 +8,7 @@
 
 deployment=small
 build=build
+readonly MOVING_TASKS=4
 while (($#)); do
   case $1 in
     --deployment) deployment=${2:?--deployment needs a name}; shift 2 ;;
@@ -139,6 +140,22 @@
   "$ctl" job list --prefix=renders
 }
 
+# Takes the first failure domain out while tasks run there; each must resume once elsewhere.
+move_job() {
+  "$ctl" job submit moving --team="$TEAM" --caller=desk --tasks="$MOVING_TASKS" --milli-cores=1000 \
+    --memory-mib=1024 --command="run 5000" --failure-domain="${domains[0]}" || fault "not submitted"
+  until_ok tasks_run "$MOVING_TASKS"
+  "$ctl" domain out "${domains[0]}" --wait --wait-limit-ms=20000 || fault "the domain was not drained"
+  "$ctl" job show moving --wait --wait-limit-ms=60000 >"$logs/moving.json" || fault "moving did not finish"
+  "$ctl" domain status
+  "$ctl" domain in "${domains[0]}" || fault "the domain was not brought back"
+}
+
+# The first entry VM is in the first failure domain and tells what runs there.
+tasks_run() { # number of tasks
+  "$ctl" domain status --json | grep -q "\"running\":$1[,}]"
+}
+
 echo "deployment $deployment: $ENTRY_VMS entry VMs, $RUNNERS runners and $WORKERS workers in ${domains[*]}"
 start_deployment
 until_ok "$ctl" service create "$SERVICE" --team="$TEAM"
@@ -146,7 +163,7 @@
 until_ok "$ctl" service request "$SERVICE" --caller=demo --request-id="warm-up" --idempotent
 send_requests
 run_job
-"$ctl" domain status
+move_job
 "$ctl" preset show
 stop_all
 
@@ -155,7 +172,8 @@
 done
 grep -qh 'repeated=[1-9]' "$logs"/runners-*.log && fault "a request ran twice"
 started=$(sed -n 's/^event=ended starts=\([0-9]*\).*/\1/p' "$logs"/workers-*.log | awk '{ n += $1 } END { print n + 0 }')
-[[ $started == "$JOB_TASKS" ]] || fault "$started starts for $JOB_TASKS tasks"
+wanted=$((JOB_TASKS + 2 * MOVING_TASKS))
+[[ $started == "$wanted" ]] || fault "$started starts, not $wanted"
 if ((faults)); then
   echo "demo: $faults faults; logs in $logs" >&2
   exit 1
