--- a/include/cuminmoor/config.h
+++ b/include/cuminmoor/config.h
@@ -51,6 +51,10 @@
 inline constexpr millis inbox_poll{500};
 inline constexpr std::size_t max_records_per_commit{256};
 inline constexpr std::uint64_t commits_per_checkpoint{64};
+/// A checkpoint is due when the log behind the newest one holds this many times its bytes,
+inline constexpr std::size_t log_bytes_per_checkpoint_byte{4};
+/// or this many commits, so that reading the log back stays short.
+inline constexpr std::uint64_t max_commits_per_checkpoint{1'024};
 inline constexpr std::size_t max_log_rows_trimmed{64};
 /// Rows of each kind that one scan of the inbox reads.
 inline constexpr std::size_t inbox_scan_limit{128};
--- a/include/cuminmoor/scheduler.h
+++ b/include/cuminmoor/scheduler.h
@@ -118,6 +118,9 @@
     std::uint64_t put_token{0};
     /// Log rows up to here are deleted.
     log_index trimmed;
+    /// Text put into the log since the newest object, and that object's size.
+    std::size_t log_bytes{0};
+    std::size_t object_bytes{0};
     instant retry_at;
 };
 
--- a/src/scheduler_checkpoint.cpp
+++ b/src/scheduler_checkpoint.cpp
@@ -5,19 +5,37 @@
 
 namespace cuminmoor {
 
+namespace {
+
+/// Weighs the bytes of another checkpoint against those that the next holder would have to read.
+bool is_checkpoint_due(const scheduler_state& s)
+{
+    const auto& k = s.checkpoint;
+    const std::uint64_t commits = s.book.applied.value - k.stored.value;
+    if (s.book.applied <= k.stored || commits < config::commits_per_checkpoint) {
+        return false;
+    }
+    return commits >= config::max_commits_per_checkpoint ||
+           k.log_bytes >= k.object_bytes * config::log_bytes_per_checkpoint_byte;
+}
+
+} // namespace
+
 void drive_checkpoint(context& c)
 {
     auto& s = c.s.scheduler;
     auto& k = s.checkpoint;
     if (!s.recovered || !is_lease_valid(c) || k.put_token != 0 || c.now < k.retry_at ||
-        s.book.applied.value < k.stored.value + config::commits_per_checkpoint) {
+        !is_checkpoint_due(s)) {
         return;
     }
     k.put_token = s.next_token++;
     k.putting = s.book.applied;
+    std::string text = encode_ledger(s.book);
+    k.object_bytes = text.size();
     c.out.add(object_put{{store_user::scheduler, k.put_token},
                          ledger_object_key(c.s.self.failure_domain, k.putting),
-                         encode_ledger(s.book)});
+                         std::move(text)});
 }
 
 void on_checkpoint_put(context& c, const object_done& e)
@@ -33,6 +51,8 @@
         return;
     }
     k.stored = k.putting;
+    k.log_bytes = 0;
+    c.s.counters.add("scheduler.checkpoint_stored");
 }
 
 void collect_checkpoint(context& c, commit_draft& d)
--- a/src/scheduler_commit.cpp
+++ b/src/scheduler_commit.cpp
@@ -139,8 +139,10 @@
     commit.summarized = std::move(d.summarized);
     if (!commit.records.empty()) {
         ++commit.next.last.value;
+        std::string text = encode_records(commit.records);
+        c.s.scheduler.checkpoint.log_bytes += text.size();
         commit.body.writes.push_back(
-            {log_key(c.s.self.failure_domain, commit.next.last), encode_records(commit.records)});
+            {log_key(c.s.self.failure_domain, commit.next.last), std::move(text)});
     }
     if (d.assigns && c.s.scheduler.switches.config_precondition) {
         commit.body.preconditions.push_back({config_head_key, c.s.configuration.head_row});
--- a/src/scheduler_recovery.cpp
+++ b/src/scheduler_recovery.cpp
@@ -104,6 +104,7 @@
             return records.status();
         }
         fold_records(c, r.partial, *records);
+        c.s.scheduler.checkpoint.log_bytes += row.value.size();
         r.partial.applied.value = *index;
     }
     return absl::OkStatus();
@@ -237,6 +238,8 @@
         return;
     }
     s.recovery.partial = *std::move(book);
+    s.checkpoint.object_bytes = e.body->size();
+    c.s.counters.add("scheduler.recovered_from_checkpoint");
     fold_and_go_on(c);
 }
 
