--- a/tests/scenario/world.cpp
+++ b/tests/scenario/world.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <memory>
 
+#include "absl/strings/str_cat.h"
 #include "cuminmoor/config.h"
 
 namespace cuminmoor::scenario {
@@ -122,7 +123,7 @@
     for (const auto& [other_name, other] : vms) {
         if (other_name != name && other.s.self.failure_domain == vm.s.self.failure_domain &&
             holds(other)) {
-            check.fail(name + " and " + other_name + " hold the lease at once");
+            check.fail(absl::StrCat(name, " and ", other_name, " hold the lease at once"));
         }
     }
 }
@@ -155,7 +156,7 @@
     std::visit([this, &name](const auto& body) { execute(name, body); }, f.body);
 }
 
-void world::start_call(const std::string& name, call c)
+void world::start_call(const std::string& name, const call& c)
 {
     const std::uint64_t life = vms.at(name).life;
     const auto answered = std::make_shared<bool>(false);
@@ -206,7 +207,7 @@
         return store_committed{f.token, revision ? store_outcome::ok : store_outcome::conflict,
                                revision.value_or(0)};
     };
-    start_call(name, std::move(c));
+    start_call(name, c);
 }
 
 void world::execute(const std::string& name, const store_read& f)
@@ -220,7 +221,7 @@
         const bool up = fault != store_fault::down;
         return store_read_done{f.token, up, sent, up ? table.read(f) : std::vector<row>{}};
     };
-    start_call(name, std::move(c));
+    start_call(name, c);
 }
 
 void world::execute(const std::string& name, const object_put& f)
@@ -234,7 +235,7 @@
         table.objects[f.key] = f.body;
         return object_done{f.token, true, {}};
     };
-    start_call(name, std::move(c));
+    start_call(name, c);
 }
 
 void world::execute(const std::string& name, const object_get& f)
@@ -248,7 +249,7 @@
         }
         return object_done{f.token, true, found->second};
     };
-    start_call(name, std::move(c));
+    start_call(name, c);
 }
 
 void world::execute(const std::string& name, const vm_list_read& /*f*/)
@@ -264,7 +265,7 @@
         }
         return done;
     };
-    start_call(name, std::move(c));
+    start_call(name, c);
 }
 
 void world::execute(const std::string& name, const peer_send& f)
@@ -315,7 +316,7 @@
         }
         return sync_worker(f, sent);
     };
-    start_call(name, std::move(c));
+    start_call(name, c);
 }
 
 void world::execute(const std::string& name, const shutdown_complete& /*f*/)
--- a/tests/scenario/world.h
+++ b/tests/scenario/world.h
@@ -106,7 +106,7 @@
     void step(const std::string& name, const event& e);
     void send_all(const std::string& name, std::uint64_t life, std::vector<effect> effects);
     void send(const std::string& name, const effect& f);
-    void start_call(const std::string& name, call c);
+    void start_call(const std::string& name, const call& c);
     call store_call(const entry_vm& vm);
     void check_lease(const std::string& name);
     event sync_worker(const worker_sync& f, instant sent_at);
