Daemon: fuzz targets under the linter, load tool with more connections

clang-tidy had no flags for the fuzz targets, which are built in a project of their own; a library that is never built now gives them.

--- a/bench/bench_http.cpp
+++ b/bench/bench_http.cpp
@@ -16,7 +16,7 @@
 
 namespace io = cuminmoor::io;
 
-constexpr long connections{256};
+constexpr long connections{1'000};
 constexpr std::size_t client_threads{3};
 
 struct options {
--- a/daemon/http_platform_client.cpp
+++ b/daemon/http_platform_client.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// The platform over HTTP: at most `max_store_calls` at once, reads shed first.
 #include <atomic>
+#include <functional>
 #include <utility>
 
 #include "cuminmoor/config.h"
@@ -169,8 +170,9 @@
         return false;
     }
 
-    template <typename Done>
-    void start(http_call call, Done done)
+    using result_handler = std::function<void(http_result r, instant sent_at)>;
+
+    void start(http_call call, result_handler done)
     {
         // Taken before the bytes go, so that what was read is at least as new.
         const instant started = clock_.now();
--- a/tests/fuzz.cmake
+++ b/tests/fuzz.cmake
@@ -18,3 +18,8 @@
   endif()
   add_test(NAME ${name} COMMAND ${fuzz_build}/${name} ${fuzz_flags})
 endforeach()
+
+# Never built; gives the linter the flags of the fuzz targets.
+file(GLOB fuzz_sources CONFIGURE_DEPENDS fuzz/*.cpp)
+add_library(fuzz_lint OBJECT EXCLUDE_FROM_ALL ${fuzz_sources})
+target_link_libraries(fuzz_lint PRIVATE cuminmoor_io)
--- a/tests/fuzz/fuzz_command.cpp
+++ b/tests/fuzz/fuzz_command.cpp
@@ -13,6 +13,7 @@
 namespace cm = cuminmoor;
 namespace io = cuminmoor::io;
 
+// The name is libFuzzer's. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     static const std::array paths{"/v1/configuration/changes", "/v1/jobs", "/v1/jobs/cancel"};
--- a/tests/fuzz/fuzz_datagram.cpp
+++ b/tests/fuzz/fuzz_datagram.cpp
@@ -28,6 +28,7 @@
 
 } // namespace
 
+// The name is libFuzzer's. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     const std::string bytes{reinterpret_cast<const char*>(data), size};
--- a/tests/fuzz/fuzz_platform.cpp
+++ b/tests/fuzz/fuzz_platform.cpp
@@ -9,6 +9,7 @@
 
 namespace io = cuminmoor::io;
 
+// The name is libFuzzer's. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     const std::string text{reinterpret_cast<const char*>(data), size};
--- a/tests/fuzz/fuzz_worker_report.cpp
+++ b/tests/fuzz/fuzz_worker_report.cpp
@@ -7,6 +7,7 @@
 
 #include "worker_json.h"
 
+// The name is libFuzzer's. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     const auto report = cuminmoor::io::decode_report({reinterpret_cast<const char*>(data), size});
