--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Measures the policies: tail latency of services, batch throughput, evictions, and the work done
-/// while a failure domain leaves and returns. Usage: policy_bench [tuning|held-out] [runs]
+/// while a failure domain leaves and returns.
+/// Usage: policy_bench [tuning|held-out] [runs] [first_fit|all|both] [deployment]
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -173,14 +174,45 @@
     std::fflush(stdout);
 }
 
-void run_variant(const std::string& name, const policy_set& policies, std::uint64_t first_seed,
-                 int runs)
+struct options {
+    std::uint64_t first_seed{first_tuning_seed};
+    int runs{10};
+    std::string variant{"both"};
+    /// Empty: all.
+    std::string deployment_name;
+};
+
+options parse_options(const std::vector<std::string>& words)
+{
+    options o;
+    if (!words.empty() && words[0] == "held-out") {
+        o.first_seed = first_held_out_seed;
+    }
+    if (words.size() > 1) {
+        o.runs = std::atoi(words[1].c_str());
+    }
+    if (words.size() > 2) {
+        o.variant = words[2];
+    }
+    if (words.size() > 3) {
+        o.deployment_name = words[3];
+    }
+    return o;
+}
+
+void run_variant(const std::string& name, const policy_set& policies, const options& o)
 {
+    if (o.variant != "both" && o.variant != name) {
+        return;
+    }
     for (const auto& d : {gh_south(), yeongnam()}) {
+        if (!o.deployment_name.empty() && o.deployment_name != d.name) {
+            continue;
+        }
         std::vector<measures> all;
-        all.reserve(static_cast<std::size_t>(runs));
-        for (int i = 0; i < runs; ++i) {
-            all.push_back(run_once(d, first_seed + static_cast<std::uint64_t>(i), policies));
+        all.reserve(static_cast<std::size_t>(o.runs));
+        for (int i = 0; i < o.runs; ++i) {
+            all.push_back(run_once(d, o.first_seed + static_cast<std::uint64_t>(i), policies));
         }
         print_rows(d.name, name, all);
     }
@@ -193,10 +225,9 @@
 int main(int argc, char** argv)
 {
     using namespace cuminmoor::bench;
-    const std::string seeds = argc > 1 ? argv[1] : "tuning";
-    const int runs = argc > 2 ? std::atoi(argv[2]) : 10;
-    const auto first = seeds == "held-out" ? first_held_out_seed : first_tuning_seed;
+    const options o = parse_options({argv + 1, argv + argc});
     std::printf("deployment,variant,measure,mean,least,most\n");
-    run_variant("first_fit", cuminmoor::make_first_fit_policies(), first, runs);
+    run_variant("first_fit", cuminmoor::make_first_fit_policies(), o);
+    run_variant("all", cuminmoor::make_policies(), o);
     return 0;
 }
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -2,6 +2,7 @@
 /// Generator of the policy benchmark's workload.
 #include "workload.h"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 
@@ -13,6 +14,8 @@
 
 constexpr millis wave_period{120'000};
 constexpr millis wave_length{20'000};
+/// Between the arrivals of two service tasks, among the batch work.
+constexpr millis service_spacing{1'500};
 /// Somewhat more than the workers can do.
 constexpr double tasks_per_worker_second = 0.3;
 
@@ -29,6 +32,8 @@
         }
         make_loads(length);
         made_.cancelled_at = {length.count / 2 + 30'000};
+        std::stable_sort(made_.submissions.begin(), made_.submissions.end(),
+                         [](const auto& a, const auto& b) { return a.at < b.at; });
         return std::move(made_);
     }
 
@@ -58,17 +63,17 @@
 
     void make_services()
     {
-        for (int s = 0; s < service_count; ++s) {
+        for (int i = 0; i < deployment_.workers; ++i) {
+            const int s = i % service_count;
             job_spec spec;
-            spec.id = {absl::StrCat("service-", s)};
+            spec.id = {absl::StrCat("service-", i)};
             spec.team = {team_name(s)};
             spec.kind = work_class::latency_critical;
-            spec.tasks = static_cast<std::uint32_t>(deployment_.workers / service_count);
             spec.task_size = {8'000, 16'000, 0};
             spec.run_time = {86'400'000};
             spec.job_class = service_name(s);
             made_.truth[spec.id] = {true, service_name(s), 4'000, spec.run_time, false};
-            made_.submissions.push_back({{0}, spec});
+            made_.submissions.push_back({{i * service_spacing.count}, spec});
         }
     }
 
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 daemon_process::daemon_process(const settings& s)
-    : settings_{s}, policies_{make_first_fit_policies()}, reducer_{policies_}, loop_{reducer_,
+    : settings_{s}, policies_{make_policies()}, reducer_{policies_}, loop_{reducer_,
                                                                                      make_state(s),
                                                                                      clock_,
                                                                                      metrics_},
--- a/include/cuminmoor/config.h
+++ b/include/cuminmoor/config.h
@@ -78,6 +78,20 @@
 inline constexpr std::uint32_t max_tasks_per_job{10'000};
 /// Waiting tasks that one commit looks at.
 inline constexpr std::size_t max_waiting_examined{512};
+/// Waiting tasks that one commit sorts by team.
+inline constexpr std::size_t max_waiting_walked{2'048};
+
+// Policies.
+/// Step of the interference estimates towards a new report; 1 would believe it whole.
+inline constexpr double interference_step = 0.1;
+/// How fast the best tail latency seen of a service is forgotten, per report.
+inline constexpr double best_latency_growth = 0.0002;
+/// Placements whose predicted rises differ by less than this count as equal.
+inline constexpr double rise_hysteresis = 0.02;
+/// See `policy_weights::max_rise`, by preset.
+inline constexpr double ordinary_max_rise = 0.15;
+inline constexpr double peak_max_rise = 0.05;
+inline constexpr double maintenance_max_rise = 0.5;
 
 // Requests.
 inline constexpr std::int64_t slots_per_runner{8};
--- a/include/cuminmoor/policy.h
+++ b/include/cuminmoor/policy.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "cuminmoor/configuration.h"
 #include "cuminmoor/ids.h"
 #include "cuminmoor/job.h"
 #include "cuminmoor/units.h"
@@ -19,6 +20,25 @@
     resources capacity;
     /// What is committed there, decisions of the same step included.
     resources committed;
+    /// Learned: by how much the tail latencies of the services there, or of the task itself when it
+    /// is latency-critical, would rise; 0.1 is 10 %.
+    double predicted_rise{0};
+};
+
+/// What a preset sets, all at once.
+struct policy_weights {
+    /// A batch task waits rather than raise tail latencies by more than this in sum; 0.1 is 10 %.
+    double max_rise{0};
+};
+
+policy_weights weights_of(preset p);
+
+/// A task that is to be placed.
+struct placement_question {
+    const job_spec& job;
+    policy_weights weights;
+    /// Some task of the same class runs in the failure domain.
+    bool is_class_running{false};
 };
 
 /// Chooses where a task runs.
@@ -31,10 +51,10 @@
     placement_policy& operator=(placement_policy&&) = delete;
     virtual ~placement_policy() = default;
 
-    /// \param candidates every one has room for `size`; never empty.
+    /// \param candidates every one has room for the task; never empty.
     /// \return index into `candidates`, or nothing when it is better to wait.
     [[nodiscard]] virtual std::optional<std::size_t>
-    choose(const job_spec& job, const resources& size,
+    choose(const placement_question& question,
            const std::vector<placement_candidate>& candidates) const = 0;
 };
 
@@ -42,15 +62,30 @@
 class first_fit_placement final : public placement_policy {
 public:
     [[nodiscard]] std::optional<std::size_t>
-    choose(const job_spec& job, const resources& size,
+    choose(const placement_question& question,
+           const std::vector<placement_candidate>& candidates) const override;
+};
+
+/// Avoids learned interference; among equals it is first fit. Batch work waits rather than hurt
+/// services much, but a class is never shut out: one task of it may run anywhere.
+class quiet_placement final : public placement_policy {
+public:
+    [[nodiscard]] std::optional<std::size_t>
+    choose(const placement_question& question,
            const std::vector<placement_candidate>& candidates) const override;
 };
 
 /// The policies in use.
 struct policy_set {
     std::unique_ptr<placement_policy> placement;
+    /// Teams take turns by weighted dominant share and keep to their quotas; otherwise batch tasks
+    /// start in the order of admission.
+    bool has_fair_shares{false};
 };
 
+/// \return the policies that the daemon uses.
+policy_set make_policies();
+
 /// \return the baseline set.
 policy_set make_first_fit_policies();
 
--- a/include/cuminmoor/scheduler.h
+++ b/include/cuminmoor/scheduler.h
@@ -11,6 +11,7 @@
 
 #include "cuminmoor/clock.h"
 #include "cuminmoor/ids.h"
+#include "cuminmoor/interference.h"
 #include "cuminmoor/job.h"
 #include "cuminmoor/lease.h"
 #include "cuminmoor/worker.h"
@@ -144,6 +145,8 @@
     std::map<vm_id, worker_state> workers;
     /// Workers whose last report has not been compared with the ledger.
     std::set<vm_id> dirty_workers;
+    /// Volatile, as `workers` are.
+    interference_model interference;
     summary_queue summaries;
     /// Ended jobs that are still in the ledger, and since when.
     std::map<job_id, instant> ended_jobs;
--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// Choosing which waiting tasks start where.
+#include "fair_share.h"
 #include "scheduler_parts.h"
+#include "scheduler_policy.h"
 
 namespace cuminmoor {
 
@@ -11,6 +13,8 @@
     vm_id id;
     const worker_state* state{nullptr};
     resources committed;
+    /// Decisions of this commit included.
+    worker_mix mix;
 };
 
 std::vector<open_worker> open_workers(const context& c)
@@ -23,7 +27,8 @@
             continue;
         }
         const auto share = s.book.committed.find(id);
-        open.push_back({id, &w, share == s.book.committed.end() ? resources{} : share->second});
+        open.push_back({id, &w, share == s.book.committed.end() ? resources{} : share->second,
+                        mix_of(s.book, id)});
     }
     return open;
 }
@@ -45,6 +50,24 @@
     d.add(id, std::move(record));
 }
 
+void add_to_mix(worker_mix& mix, const job_spec& job, const resources& size)
+{
+    if (job.kind == work_class::latency_critical) {
+        ++mix.services[class_of(job)];
+    }
+    else {
+        mix.batch_cores[class_of(job)] += cores_of(size);
+    }
+}
+
+double predict_rise(const interference_model& model, const worker_mix& mix, const job_spec& job,
+                    const resources& size)
+{
+    return job.kind == work_class::latency_critical
+               ? model.rise_met(mix, class_of(job))
+               : model.rise_caused(mix, class_of(job), cores_of(size));
+}
+
 /// \return true when an attempt on that worker failed and others are left to try.
 bool is_to_be_avoided(const task_entry& task, const vm_id& worker,
                       const std::vector<open_worker>& open)
@@ -52,8 +75,16 @@
     return task.failed_on.size() < open.size() && task.failed_on.contains(worker);
 }
 
-/// \return false when no worker takes the task now.
-bool place(context& c, commit_draft& d, const queue_key& key, std::vector<open_worker>& open)
+bool is_class_running(const std::vector<open_worker>& open, const std::string& job_class)
+{
+    return std::any_of(open.begin(), open.end(), [&job_class](const open_worker& w) {
+        return w.mix.batch_cores.contains(job_class);
+    });
+}
+
+enum class placed : std::uint8_t { yes, no_room, waits };
+
+placed place(context& c, commit_draft& d, const queue_key& key, std::vector<open_worker>& open)
 {
     const auto& job = c.s.scheduler.book.jobs.at(key.task.job);
     const auto& task = job.tasks.at(key.task.index);
@@ -63,25 +94,50 @@
     for (auto& w : open) {
         const auto& last = w.state->last;
         if ((w.committed + size).fits(last.capacity) && !is_to_be_avoided(task, w.id, open)) {
-            candidates.push_back({w.id, last.rack, last.capacity, w.committed});
+            candidates.push_back({w.id, last.rack, last.capacity, w.committed,
+                                  predict_rise(c.s.scheduler.interference, w.mix, job.spec, size)});
             workers.push_back(&w);
         }
     }
     if (candidates.empty()) {
-        return false;
+        return placed::no_room;
     }
-    const auto chosen = c.policies.placement->choose(job.spec, size, candidates);
+    const placement_question question{job.spec, weights_of(c.s.configuration.current.active_preset),
+                                      is_class_running(open, class_of(job.spec))};
+    const auto chosen = c.policies.placement->choose(question, candidates);
     if (!chosen || *chosen >= workers.size()) {
-        return false;
+        return placed::waits;
     }
     assign(c, d, key.task, task, size, *workers[*chosen]);
-    return true;
+    add_to_mix(workers[*chosen]->mix, job.spec, size);
+    return placed::yes;
+}
+
+/// A size that found no place in this commit; nothing as large needs to be tried.
+struct refusal {
+    resources size;
+    /// Class that it holds for; empty: all.
+    std::string job_class;
+};
+
+std::unique_ptr<waiting_order> make_queue(const context& c, const std::vector<open_worker>& open)
+{
+    const auto& book = c.s.scheduler.book;
+    if (!c.policies.has_fair_shares) {
+        return std::make_unique<admission_order>(book);
+    }
+    resources total;
+    for (const auto& w : open) {
+        total += w.state->last.capacity;
+    }
+    return std::make_unique<fair_share_order>(book, c.s.configuration.current, total);
 }
 
-bool is_hopeless(const std::vector<resources>& refused, const resources& size)
+bool is_hopeless(const std::vector<refusal>& refused, const job_spec& job)
 {
-    return std::any_of(refused.begin(), refused.end(),
-                       [&size](const resources& r) { return r.fits(size); });
+    return std::any_of(refused.begin(), refused.end(), [&job](const refusal& r) {
+        return r.size.fits(job.task_size) && (r.job_class.empty() || r.job_class == class_of(job));
+    });
 }
 
 } // namespace
@@ -94,20 +150,25 @@
         return;
     }
     auto open = open_workers(c);
-    // Sizes that found no place in this commit; nothing as large needs to be tried.
-    std::vector<resources> refused;
+    std::vector<refusal> refused;
     std::size_t examined = 0;
-    for (const auto& key : s.book.waiting) {
+    const auto queue = make_queue(c, open);
+    while (const auto key = queue->next()) {
         if (d.is_full() || ++examined > config::max_waiting_examined) {
             return;
         }
-        const auto& size = s.book.jobs.at(key.task.job).spec.task_size;
-        if (!d.is_free(key.task) || is_hopeless(refused, size)) {
+        const auto& job = s.book.jobs.at(key->task.job).spec;
+        if (!d.is_free(key->task) || is_hopeless(refused, job)) {
             continue;
         }
-        const bool may_go_anywhere = find_task(s.book, key.task)->failed_on.empty();
-        if (!place(c, d, key, open) && may_go_anywhere) {
-            refused.push_back(size);
+        const bool may_go_anywhere = find_task(s.book, key->task)->failed_on.empty();
+        const placed result = place(c, d, *key, open);
+        if (result == placed::yes) {
+            queue->note_placed(*key);
+        }
+        else if (may_go_anywhere) {
+            refused.push_back(
+                {job.task_size, result == placed::waits ? class_of(job) : std::string{}});
         }
     }
 }
--- a/src/scheduler_workers.cpp
+++ b/src/scheduler_workers.cpp
@@ -4,6 +4,7 @@
 /// Orders are derived from the committed ledger and the last report each time, so that nothing has
 /// to be remembered between exchanges and a repeated order is harmless.
 #include "scheduler_parts.h"
+#include "scheduler_policy.h"
 
 namespace cuminmoor {
 
@@ -236,6 +237,7 @@
     w.last = e.report;
     note_stray(c, e.worker, w);
     note_checkpoints(c, e.worker, w);
+    learn_from_report(c, e.worker, w.last);
     s.dirty_workers.insert(e.worker);
 }
 
--- /dev/null
+++ b/tests/test_policy.cpp
@@ -0,0 +1,60 @@
+/// \file
+/// Learned interference, placement by it, and turns of teams.
+#include <criterion/criterion.h>
+
+#include "cuminmoor/config.h"
+#include "cuminmoor/interference.h"
+#include "cuminmoor/policy.h"
+
+namespace cm = cuminmoor;
+
+namespace {
+
+cm::interference_model learned_model()
+{
+    cm::interference_model model;
+    for (int i = 0; i < 200; ++i) {
+        model.learn("quotes", 5'000, {{"quiet", 8.0}});
+        model.learn("quotes", 10'000, {{"noisy", 8.0}});
+    }
+    return model;
+}
+
+std::vector<cm::placement_candidate> candidates_with(double first, double second)
+{
+    std::vector<cm::placement_candidate> found(2);
+    found[0].predicted_rise = first;
+    found[1].predicted_rise = second;
+    return found;
+}
+
+} // namespace
+
+Test(interference, learns_which_class_hurts)
+{
+    const auto model = learned_model();
+    cr_assert_gt(model.rise_per_core("quotes", "noisy"), 0.1);
+    cr_assert_lt(model.rise_per_core("quotes", "quiet"), 0.01);
+    cr_assert_eq(model.rise_per_core("other", "noisy"), 0.0);
+}
+
+Test(quiet_placement, takes_the_worker_with_the_least_rise)
+{
+    const cm::quiet_placement placement;
+    const cm::job_spec job;
+    const cm::placement_question question{job, cm::weights_of(cm::preset::ordinary), true};
+    cr_assert_eq(*placement.choose(question, candidates_with(1.0, 0.01)), 1U);
+    cr_assert_eq(*placement.choose(question, candidates_with(0.02, 0.01)), 0U);
+}
+
+Test(quiet_placement, batch_work_waits_but_no_class_is_shut_out)
+{
+    const cm::quiet_placement placement;
+    cm::job_spec job;
+    const auto weights = cm::weights_of(cm::preset::ordinary);
+    const auto bad = candidates_with(1.0, 1.0);
+    cr_assert(!placement.choose({job, weights, true}, bad).has_value());
+    cr_assert(placement.choose({job, weights, false}, bad).has_value());
+    job.kind = cm::work_class::latency_critical;
+    cr_assert(placement.choose({job, weights, true}, bad).has_value());
+}
