--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -35,13 +35,14 @@
     control_loop loop_;
     api_handler api_;
 
-    // Ended in reverse order; the clients' threads post into what stands above.
+    // Destroyed from the last to the first: the HTTP clients end, with their threads, before what
+    // their callbacks use.
     std::unique_ptr<peer_transport> peers_;
-    std::unique_ptr<http_client> control_http_;
-    std::unique_ptr<http_client> traffic_http_;
     std::unique_ptr<platform_client> platform_;
     std::unique_ptr<worker_client> workers_;
     std::unique_ptr<runner_client> runners_;
+    std::unique_ptr<http_client> control_http_;
+    std::unique_ptr<http_client> traffic_http_;
     std::unique_ptr<effect_executor> executor_;
     std::unique_ptr<http_server> server_;
 };
--- /dev/null
+++ b/daemon/log_limiter.h
@@ -0,0 +1,41 @@
+/// \file
+/// Keeps a flood of like events from flooding the log.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "cuminmoor/clock.h"
+
+namespace cuminmoor::io {
+
+/// Admits at most `lines_per_window` lines in each window of `window_length`. Not thread-safe.
+class log_limiter {
+public:
+    static constexpr millis window_length{1'000};
+    static constexpr std::uint32_t lines_per_window{20};
+
+    /// \return nothing when the line is to be left out, else how many were left out before it.
+    std::optional<std::uint64_t> admit(instant now)
+    {
+        if (now - window_began_ >= window_length) {
+            window_began_ = now;
+            admitted_ = 0;
+        }
+        if (admitted_ == lines_per_window) {
+            ++suppressed_;
+            return std::nullopt;
+        }
+        ++admitted_;
+        const std::uint64_t before = suppressed_;
+        suppressed_ = 0;
+        return before;
+    }
+
+private:
+    instant window_began_;
+    std::uint32_t admitted_{0};
+    std::uint64_t suppressed_{0};
+};
+
+} // namespace cuminmoor::io
