--- a/daemon/api_handler.cpp
+++ b/daemon/api_handler.cpp
@@ -10,6 +10,7 @@
 #include "command_request.h"
 #include "cuminmoor/config.h"
 #include "cuminmoor/status.h"
+#include "io_limits.h"
 
 namespace cuminmoor::io {
 
@@ -45,8 +46,8 @@
 
 } // namespace
 
-api_handler::api_handler(open_calls& calls, event_sink& sink, clock_source& clock,
-                         const metrics& shown, std::function<std::string()> metrics_text)
+api_handler::api_handler(open_calls& calls, event_sink& sink, clock_source& clock, metrics& shown,
+                         std::function<std::string()> metrics_text)
     : calls_{calls}, sink_{sink}, clock_{clock}, metrics_{shown}, metrics_text_{
                                                                       std::move(metrics_text)}
 {
@@ -101,6 +102,13 @@
         respond(make_fault_response(parsed.status()));
         return;
     }
+    if (calls_.size() >= max_open_requests) {
+        ++metrics_.requests_shed;
+        respond(make_error_response(result_code::queue_full,
+                                    std::to_string(max_open_requests) +
+                                        " requests are open at this entry VM; try another one"));
+        return;
+    }
     open_call call = make_call(open_call_kind::request, request, std::move(respond));
     call.request_id = parsed->id.value;
     hand_over(std::move(call), [arrived = *std::move(parsed)](traffic_handle handle) mutable {
--- a/daemon/api_handler.h
+++ b/daemon/api_handler.h
@@ -18,7 +18,7 @@
 class api_handler final : public http_handler {
 public:
     /// All references must outlive the handler. \param metrics_text gives the body of /metrics.
-    api_handler(open_calls& calls, event_sink& sink, clock_source& clock, const metrics& shown,
+    api_handler(open_calls& calls, event_sink& sink, clock_source& clock, metrics& shown,
                 std::function<std::string()> metrics_text);
 
     void on_request(http_request request, http_responder respond) override;
@@ -40,7 +40,7 @@
     open_calls& calls_;
     event_sink& sink_;
     clock_source& clock_;
-    const metrics& metrics_;
+    metrics& metrics_;
     std::function<std::string()> metrics_text_;
     std::atomic<bool> stopping_{false};
     std::atomic<bool> closed_{false};
--- a/daemon/daemon.cpp
+++ b/daemon/daemon.cpp
@@ -26,10 +26,8 @@
 } // namespace
 
 daemon_process::daemon_process(const settings& s)
-    : settings_{s}, policies_{make_policies()}, reducer_{policies_}, loop_{reducer_,
-                                                                                     make_state(s),
-                                                                                     clock_,
-                                                                                     metrics_},
+    : settings_{s}, policies_{make_policies()}, reducer_{policies_}, loop_{reducer_, make_state(s),
+                                                                           clock_, metrics_},
       api_{calls_, loop_, clock_, metrics_,
            [this] { return format_metrics(metrics_, peers_->counts(), calls_.size()); }}
 {
--- a/daemon/io_limits.h
+++ b/daemon/io_limits.h
@@ -24,6 +24,11 @@
 /// How long after its last answer the server waits for answers that are being written.
 inline constexpr millis flush_timeout{5'000};
 
+// Admission.
+/// Requests that are open at once; more are refused by the traffic threads, so that a flood costs
+/// the control thread nothing. Above what the queue and the slots of a failure domain hold.
+inline constexpr std::size_t max_open_requests{1'024};
+
 // HTTP client.
 /// Most connections to one runner: the share of one of eight entry VMs. Slot shares keep the use
 /// below it; this is the last resort.
--- a/daemon/metrics.cpp
+++ b/daemon/metrics.cpp
@@ -95,6 +95,7 @@
     std::ostringstream out;
     write_snapshot(out, *m.snapshot());
     write(out, "open_calls", open_calls);
+    write(out, "request_refused_open_requests", m.requests_shed.load());
     write(out, "peer_datagrams_sent", peers.sent);
     write(out, "peer_datagrams_received", peers.received);
     write(out, "peer_datagrams_malformed", peers.malformed);
--- a/daemon/metrics.h
+++ b/daemon/metrics.h
@@ -2,6 +2,7 @@
 /// What /metrics and /readyz show. docs/METRICS.md lists the names.
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -38,6 +39,8 @@
     latency_summary backend;
     /// Time of one step of the reducer, effects included.
     latency_summary control_step;
+    /// Requests refused because `max_open_requests` were open.
+    std::atomic<std::uint64_t> requests_shed{0};
 
 private:
     mutable std::mutex mutex_;
--- a/tests/test_daemon_api.cpp
+++ b/tests/test_daemon_api.cpp
@@ -9,6 +9,7 @@
 #include "cuminmoor/config.h"
 #include "event_list.h"
 #include "http_client.h"
+#include "io_limits.h"
 #include "system_clock.h"
 
 namespace cm = cuminmoor;
@@ -102,6 +103,27 @@
                  R"({"code":300,"message":"m","name":"outcome_unknown","not_run":false})");
 }
 
+Test(api, flood_is_refused_without_reaching_the_core)
+{
+    fixture f;
+    std::vector<cm::traffic_handle> held;
+    for (std::size_t i = 0; i < io::max_open_requests; ++i) {
+        held.push_back(f.calls.add({}));
+    }
+    const auto refused = f.start(f.make_call("/v1/services/drape-desk/requests", "quote")).get();
+    cr_assert_eq(header(refused, "X-Result-Code"), "201");
+    cr_assert_eq(header(refused, "X-Not-Run"), "1");
+    cr_assert_eq(f.metrics.requests_shed.load(), 1U);
+    f.calls.take(held.back());
+    auto got = f.start(f.make_call("/v1/services/drape-desk/requests", "quote"));
+    f.answer({.handle = f.events.take<cm::request_arrived>().handle,
+              .code = cm::result_code::ok,
+              .status = 200,
+              .body = nullptr,
+              .message = ""});
+    cr_assert_eq(header(got.get(), "X-Result-Code"), "0");
+}
+
 Test(api, body_above_the_limit_is_too_large)
 {
     fixture f;
--- /dev/null
+++ b/tests/test_fair_share.cpp
@@ -0,0 +1,99 @@
+/// \file
+/// Turns of teams by weighted dominant share, and quotas.
+#include <criterion/criterion.h>
+
+#include "../src/fair_share.h"
+
+namespace cm = cuminmoor;
+
+namespace {
+
+constexpr cm::resources total{64'000, 256'000, 8};
+
+void admit(cm::ledger& book, const std::string& job, const std::string& team, std::uint32_t tasks,
+           const cm::resources& size, cm::work_class kind = cm::work_class::batch)
+{
+    cm::job_admitted record;
+    record.spec.id = {job};
+    record.spec.team = {team};
+    record.spec.kind = kind;
+    record.spec.tasks = tasks;
+    record.spec.task_size = size;
+    cr_assert(cm::apply_record(book, record).ok());
+}
+
+/// Takes `n` tasks in turn, each as if it had been placed.
+std::map<std::string, int> take(cm::fair_share_order& order, const cm::ledger& book, int n)
+{
+    std::map<std::string, int> taken;
+    for (int i = 0; i < n; ++i) {
+        const auto key = order.next();
+        if (!key) {
+            break;
+        }
+        order.note_placed(*key);
+        ++taken[book.jobs.at(key->task.job).spec.team.value];
+    }
+    return taken;
+}
+
+} // namespace
+
+Test(fair_share, equal_teams_take_turns_whoever_came_first)
+{
+    cm::ledger book;
+    admit(book, "a", "kente", 100, {1'000, 1'000, 0});
+    admit(book, "b", "blank", 100, {1'000, 1'000, 0});
+    cm::fair_share_order order{book, {}, total};
+    auto taken = take(order, book, 40);
+    cr_assert_eq(taken["kente"], 20);
+    cr_assert_eq(taken["blank"], 20);
+}
+
+Test(fair_share, weight_multiplies_the_share)
+{
+    cm::ledger book;
+    admit(book, "a", "kente", 100, {1'000, 1'000, 0});
+    admit(book, "b", "blank", 100, {1'000, 1'000, 0});
+    cm::configuration teams;
+    teams.teams[{"kente"}] = {{"kente"}, 3, {}};
+    cm::fair_share_order order{book, teams, total};
+    auto taken = take(order, book, 40);
+    cr_assert_eq(taken["kente"], 30);
+    cr_assert_eq(taken["blank"], 10);
+}
+
+Test(fair_share, scarcest_dimension_counts)
+{
+    cm::ledger book;
+    // One accelerator of 8 weighs as much as 8 of 64 cores.
+    admit(book, "a", "kente", 100, {1'000, 1'000, 1});
+    admit(book, "b", "blank", 100, {1'000, 1'000, 0});
+    cm::fair_share_order order{book, {}, total};
+    auto taken = take(order, book, 18);
+    cr_assert_eq(taken["kente"], 2);
+    cr_assert_eq(taken["blank"], 16);
+}
+
+Test(fair_share, team_at_its_quota_is_passed_over)
+{
+    cm::ledger book;
+    admit(book, "a", "kente", 100, {1'000, 1'000, 0});
+    admit(book, "b", "blank", 5, {1'000, 1'000, 0});
+    cm::configuration teams;
+    teams.teams[{"kente"}] = {{"kente"}, 1, {3'000, 0, 0}};
+    cm::fair_share_order order{book, teams, total};
+    auto taken = take(order, book, 100);
+    cr_assert_eq(taken["kente"], 3);
+    cr_assert_eq(taken["blank"], 5);
+}
+
+Test(fair_share, urgent_work_goes_first)
+{
+    cm::ledger book;
+    admit(book, "a", "kente", 3, {1'000, 1'000, 0});
+    admit(book, "b", "blank", 2, {1'000, 1'000, 0}, cm::work_class::latency_critical);
+    cm::fair_share_order order{book, {}, total};
+    auto taken = take(order, book, 2);
+    cr_assert_eq(taken["blank"], 2);
+}
--- a/tests/test_scheduler_budgets.cpp
+++ b/tests/test_scheduler_budgets.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint64_t seeds{100};
 constexpr cm::millis longest_take_over{7'500};
 constexpr cm::millis longest_start{2'500};
+constexpr cm::millis longest_configuration{7'000};
 
 /// A failure domain that starts tasks all the time.
 void make_busy(sc::world& w)
@@ -110,3 +111,39 @@
     found.print("submission to start, without an inbox hint");
     cr_assert_leq(found.ms.back(), longest_start.count);
 }
+
+namespace {
+
+bool is_in_force_everywhere(const sc::world& w, cm::preset p)
+{
+    return std::all_of(w.vms.begin(), w.vms.end(), [&](const auto& item) {
+        return item.second.s.configuration.current.active_preset == p;
+    });
+}
+
+} // namespace
+
+Test(scheduler_budgets, preset_in_force_everywhere)
+{
+    constexpr cm::millis look{10};
+    spread found;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        sc::world w{seed};
+        make_busy(w);
+        // In every second history the entry VMs do not hear each other.
+        for (auto& [name, vm] : w.vms) {
+            vm.cut_peers = seed % 2 == 0;
+        }
+        w.run_for({2'000 + static_cast<std::int64_t>(seed * 37 % 1'000)});
+        const cm::instant accepted = w.now();
+        w.change(cm::use_preset{cm::preset::peak});
+        while (!is_in_force_everywhere(w, cm::preset::peak) &&
+               w.now() - accepted <= longest_configuration) {
+            w.run_for(look);
+        }
+        cr_assert(w.check.violation().empty(), "%s", w.check.violation().c_str());
+        found.ms.push_back((w.now() - accepted).count);
+    }
+    found.print("preset accepted to in force everywhere");
+    cr_assert_leq(found.ms.back(), longest_configuration.count);
+}
