--- a/include/cuminmoor/status.h
+++ b/include/cuminmoor/status.h
@@ -13,6 +13,7 @@
 absl::Status unknown_field_error(const std::string& message);
 absl::Status missing_field_error(const std::string& message);
 absl::Status out_of_range_error(const std::string& message);
+absl::Status unknown_preset_error(const std::string& message);
 
 /// \return the result code of an error made by the functions above; `ok` for an ok status,
 /// `internal` for any other error.
--- a/src/commands_jobs.cpp
+++ b/src/commands_jobs.cpp
@@ -73,15 +73,16 @@
     }
 }
 
-/// "submitted" until a scheduler took it in, "running", or how it ended.
-const char* phase_name(const job_spec& spec, const task_totals& sum, bool is_cancelled)
+/// "submitted" until a scheduler took it in, "running", or how it ended. While tasks move between
+/// failure domains no part counts them; the job runs all the same.
+const char* phase_name(const job_spec& spec, const task_totals& sum, bool is_taken_in,
+                       bool is_cancelled)
 {
     const auto failed = sum.in(task_phase::failed);
     const auto cancelled = sum.in(task_phase::cancelled);
     const auto ended = sum.in(task_phase::finished) + failed + cancelled;
-    const auto open = sum.in(task_phase::waiting) + sum.in(task_phase::assigned);
     if (ended < spec.tasks) {
-        return open + ended == 0 ? "submitted" : "running";
+        return is_taken_in ? "running" : "submitted";
     }
     if (failed > 0) {
         return "failed";
@@ -110,7 +111,8 @@
     const auto& spec = job.registration->submission.spec;
     job_summary whole;
     json pieces = pieces_view(job, whole);
-    const std::string phase = phase_name(spec, whole.totals, whole.cancelled);
+    const std::string phase =
+        phase_name(spec, whole.totals, !job.summaries.empty(), whole.cancelled);
     json view{{"id", spec.id.value},
               {"team", spec.team.value},
               {"owner", spec.owner.value},
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -61,7 +61,7 @@
         }
         known += (known.empty() ? "" : ", ") + std::string{known_name};
     }
-    return out_of_range_error("preset '" + name + "' is not known; use one of " + known);
+    return unknown_preset_error("preset '" + name + "' is not known; use one of " + known);
 }
 
 std::string change_key(config_version version)
--- a/src/status.cpp
+++ b/src/status.cpp
@@ -24,6 +24,11 @@
     return absl::OutOfRangeError(message);
 }
 
+absl::Status unknown_preset_error(const std::string& message)
+{
+    return absl::NotFoundError(message);
+}
+
 result_code code_of(const absl::Status& status)
 {
     switch (status.code()) {
@@ -37,6 +42,8 @@
         return result_code::missing_field;
     case absl::StatusCode::kOutOfRange:
         return result_code::out_of_range;
+    case absl::StatusCode::kNotFound:
+        return result_code::unknown_preset;
     default:
         return result_code::internal;
     }
--- a/tests/test_configuration.cpp
+++ b/tests/test_configuration.cpp
@@ -3,7 +3,9 @@
 #include <criterion/criterion.h>
 
 #include "cuminmoor/configuration.h"
+#include "cuminmoor/inbox.h"
 #include "cuminmoor/json_reader.h"
+#include "cuminmoor/status.h"
 #include "entry_vm_driver.h"
 
 namespace cm = cuminmoor;
@@ -196,3 +198,37 @@
     cr_assert(a.s.membership.leaving.contains({"w1"}));
     cr_assert(!a.s.membership.leaving.contains({"unheard-of"}));
 }
+
+Test(configuration, unknown_preset_has_its_own_code)
+{
+    const auto parsed = cm::parse_preset("holiday");
+    cr_assert(cm::code_of(parsed.status()) == cm::result_code::unknown_preset);
+    cr_assert(parsed.status().message().find("maintenance") != std::string::npos);
+}
+
+Test(jobs, job_whose_tasks_are_all_on_their_way_counts_as_running)
+{
+    fake_table table;
+    entry_vm_driver a{table, "a1", "tema-port"};
+    a.list_vms(two_domains());
+    cm::job_spec spec;
+    spec.id = {"renders"};
+    spec.team = {"kente"};
+    spec.tasks = 4;
+    spec.task_size = {1'000, 512, 0};
+    cr_assert(a.run(cm::submit_job{spec, {"kumasi-mkt"}, 0})->code == cm::result_code::ok);
+    cr_assert(a.run(cm::show_job{{"renders"}})->json.find(R"("phase":"submitted")") !=
+              std::string::npos);
+    cm::job_summary moved;
+    moved.job = {"renders"};
+    moved.failure_domain = {"kumasi-mkt"};
+    moved.team = {"kente"};
+    moved.owner = {"desk"};
+    moved.declared_tasks = 4;
+    moved.totals.in(cm::task_phase::moved) = 4;
+    table.commit(
+        {{},
+         {{cm::job_summary_key(moved.job, moved.failure_domain), cm::encode_job_summary(moved)}}});
+    const auto shown = a.run(cm::show_job{{"renders"}});
+    cr_assert(shown->json.find(R"("phase":"running")") != std::string::npos);
+}
