Placement: a worker's mix is looked up only when the worker has room

Cause: since interference is learned, each commit with waiting tasks built the mix of every worker from the ledger, in a full failure domain for nothing.

--- a/src/scheduler_placement.cpp
+++ b/src/scheduler_placement.cpp
@@ -13,10 +13,19 @@
     vm_id id;
     const worker_state* state{nullptr};
     resources committed;
-    /// Decisions of this commit included.
-    worker_mix mix;
+    /// Decisions of this commit included. Set when it is first asked for: it is dear, and in a full
+    /// failure domain nobody asks.
+    std::optional<worker_mix> mix;
 };
 
+worker_mix& mix_on(const ledger& book, open_worker& w)
+{
+    if (!w.mix) {
+        w.mix = mix_of(book, w.id);
+    }
+    return *w.mix;
+}
+
 std::vector<open_worker> open_workers(const context& c)
 {
     const auto& s = c.s.scheduler;
@@ -27,8 +36,8 @@
             continue;
         }
         const auto share = s.book.committed.find(id);
-        open.push_back({id, &w, share == s.book.committed.end() ? resources{} : share->second,
-                        mix_of(s.book, id)});
+        open.push_back(
+            {id, &w, share == s.book.committed.end() ? resources{} : share->second, std::nullopt});
     }
     return open;
 }
@@ -75,10 +84,11 @@
     return task.failed_on.size() < open.size() && task.failed_on.contains(worker);
 }
 
-bool is_class_running(const std::vector<open_worker>& open, const std::string& job_class)
+bool is_class_running(const ledger& book, std::vector<open_worker>& open,
+                      const std::string& job_class)
 {
-    return std::any_of(open.begin(), open.end(), [&job_class](const open_worker& w) {
-        return w.mix.batch_cores.contains(job_class);
+    return std::any_of(open.begin(), open.end(), [&](open_worker& w) {
+        return mix_on(book, w).batch_cores.contains(job_class);
     });
 }
 
@@ -86,7 +96,8 @@
 
 placed place(context& c, commit_draft& d, const queue_key& key, std::vector<open_worker>& open)
 {
-    const auto& job = c.s.scheduler.book.jobs.at(key.task.job);
+    const auto& book = c.s.scheduler.book;
+    const auto& job = book.jobs.at(key.task.job);
     const auto& task = job.tasks.at(key.task.index);
     const auto& size = job.spec.task_size;
     std::vector<placement_candidate> candidates;
@@ -94,8 +105,9 @@
     for (auto& w : open) {
         const auto& last = w.state->last;
         if ((w.committed + size).fits(last.capacity) && !is_to_be_avoided(task, w.id, open)) {
-            candidates.push_back({w.id, last.rack, last.capacity, w.committed,
-                                  predict_rise(c.s.scheduler.interference, w.mix, job.spec, size)});
+            candidates.push_back(
+                {w.id, last.rack, last.capacity, w.committed,
+                 predict_rise(c.s.scheduler.interference, mix_on(book, w), job.spec, size)});
             workers.push_back(&w);
         }
     }
@@ -103,13 +115,13 @@
         return placed::no_room;
     }
     const placement_question question{job.spec, weights_of(c.s.configuration.current.active_preset),
-                                      is_class_running(open, class_of(job.spec))};
+                                      is_class_running(book, open, class_of(job.spec))};
     const auto chosen = c.policies.placement->choose(question, candidates);
     if (!chosen || *chosen >= workers.size()) {
         return placed::waits;
     }
     assign(c, d, key.task, task, size, *workers[*chosen]);
-    add_to_mix(workers[*chosen]->mix, job.spec, size);
+    add_to_mix(mix_on(book, *workers[*chosen]), job.spec, size);
     return placed::yes;
 }
 
