A refusal after a silent attempt no longer promises that the job never runs

An entry VM forgot that an earlier attempt might have been taken in when the next scheduler refused the job, and a scheduler that stepped down answered its peers as if it had never seen the job. Ruled out: a commit that is taken back (only when certainly not carried out); jobs that wait while commits fail (new ones are refused before they are kept). Change: a refusal of a submission in doubt is told as an unknown outcome; a scheduler that steps down with the job says so, and the entry VM asks the next one.

--- a/src/central/entry.cpp
+++ b/src/central/entry.cpp
@@ -68,7 +68,9 @@
         return;
     }
     if (call.from_peer) {
-        answer(c, handle, {.result = call_result::not_scheduler});
+        const bool is_clean = !call.maybe_taken;
+        answer(c, handle,
+               {.result = is_clean ? call_result::not_scheduler : call_result::outcome_unknown});
         return;
     }
     pass_on(c, handle, call);
@@ -149,6 +151,22 @@
     return refused(call_result::unavailable);
 }
 
+/// \return true when the answer promises that a submitted job never runs.
+bool is_refusal(call_result result)
+{
+    return result == call_result::unavailable || result == call_result::overloaded ||
+           result == call_result::unknown_queue;
+}
+
+/// \return what the caller may be told: a refusal only holds for the attempt that it answers, and
+/// an earlier one may have been taken in.
+call_answer without_false_promise(const open_call& call, const call_answer& a)
+{
+    const bool is_doubtful =
+        call.maybe_taken && call.call.kind == call_kind::submit && is_refusal(a.result);
+    return is_doubtful ? call_answer{.result = call_result::outcome_unknown} : a;
+}
+
 /// Finds the queue and the job that a request names.
 call_result resolve(const context& c, const caller_call& e, job_call& call)
 {
@@ -219,11 +237,14 @@
     }
     open_call& call = found->second;
     call.passed_on = false;
-    if (e.answer && e.answer->result != call_result::not_scheduler) {
-        answer(c, e.handle, *e.answer);
+    const call_result result = e.answer ? e.answer->result : call_result::outcome_unknown;
+    const bool is_settled =
+        result != call_result::not_scheduler && result != call_result::outcome_unknown;
+    if (is_settled) {
+        answer(c, e.handle, without_false_promise(call, *e.answer));
         return;
     }
-    call.maybe_taken = call.maybe_taken || (e.sent && !e.answer);
+    call.maybe_taken = call.maybe_taken || (e.sent && result == call_result::outcome_unknown);
     // The same job may be handed in again: the scheduler knows it by its id.
     call.retry_at = c.now + config::call_retry;
     c.wake(call.retry_at);
--- /dev/null
+++ b/tests/test_central_entry.cpp
@@ -0,0 +1,127 @@
+/// \file
+/// Calls at an entry VM, event by event: what a caller may be told after a peer was silent.
+#include <optional>
+
+#include <criterion/criterion.h>
+
+#include "central/expectations.h"
+
+using namespace cuminmoor;
+using namespace cuminmoor::central;
+using namespace cuminmoor::central::test;
+
+namespace {
+
+constexpr const char* peer_address = "10.0.0.2:7000";
+constexpr call_handle handle{1};
+
+/// An entry VM that knows a queue, and a peer that schedules.
+class entry_vm {
+public:
+    entry_vm()
+    {
+        state_.self.address = "10.0.0.1:7000";
+        state_.manifest_read = true;
+        queue q;
+        q.name.value = "q";
+        q.host = "jobs.example";
+        q.path_prefix = "/q/";
+        state_.operators.newest = {1, {q}};
+        lease_row row;
+        row.holder = "vm2";
+        row.address = peer_address;
+        state_.lease.row = row;
+    }
+
+    void submit()
+    {
+        caller_call call;
+        call.handle = handle;
+        call.kind = call_kind::submit;
+        call.host = "jobs.example";
+        call.path = "/q/" + id_of(1);
+        call.submitted = central_world::make_job(id_of(1), 1, 1, {100});
+        call.patience = {3'000};
+        give(call);
+    }
+
+    /// The peer answers so, or not at all.
+    void end_peer_call(std::optional<call_result> result)
+    {
+        peer_call_ended ended{handle, true, std::nullopt};
+        if (result) {
+            ended.answer = call_answer{.result = *result};
+        }
+        give(ended);
+    }
+
+    void wait(millis time)
+    {
+        now_ = now_ + time;
+        give(tick{});
+    }
+
+    /// \return what the caller was told.
+    [[nodiscard]] std::optional<call_result> told() const { return told_; }
+    [[nodiscard]] int peer_calls() const { return peer_calls_; }
+
+private:
+    void give(const central::event& e)
+    {
+        for (const central::effect& each : central::reduce(state_, e, now_, {0})) {
+            if (const auto* answer = std::get_if<answer_call>(&each)) {
+                told_ = answer->answer.result;
+            }
+            peer_calls_ += std::holds_alternative<peer_call>(each) ? 1 : 0;
+        }
+    }
+
+    central_state state_;
+    instant now_{1'000};
+    std::optional<call_result> told_;
+    int peer_calls_{0};
+};
+
+} // namespace
+
+Test(central_entry, a_refusal_is_passed_on_when_nothing_is_in_doubt)
+{
+    entry_vm vm;
+    vm.submit();
+    vm.end_peer_call(call_result::unavailable);
+    cr_assert(vm.told() == call_result::unavailable);
+}
+
+/// Seen on kdl-accra, scale-2 --seed 943532527115: a job ran though its caller was told it never
+/// would.
+Test(central_entry, a_refusal_after_a_silent_attempt_does_not_say_that_the_job_never_runs)
+{
+    entry_vm vm;
+    vm.submit();
+    vm.end_peer_call(std::nullopt);
+    vm.wait({200});
+    cr_assert_eq(vm.peer_calls(), 2);
+    vm.end_peer_call(call_result::unavailable);
+    cr_assert(vm.told() == call_result::outcome_unknown);
+}
+
+Test(central_entry, a_scheduler_that_stepped_down_with_the_job_leaves_its_outcome_in_doubt)
+{
+    entry_vm vm;
+    vm.submit();
+    vm.end_peer_call(call_result::outcome_unknown);
+    cr_assert(not vm.told().has_value());
+    vm.wait({200});
+    vm.end_peer_call(call_result::overloaded);
+    cr_assert(vm.told() == call_result::outcome_unknown);
+}
+
+Test(central_entry, a_job_in_doubt_is_accepted_when_a_scheduler_says_so)
+{
+    entry_vm vm;
+    vm.submit();
+    vm.end_peer_call(std::nullopt);
+    vm.wait({200});
+    vm.end_peer_call(call_result::accepted);
+    cr_assert(vm.told() == call_result::accepted);
+}
