A job of which nothing runs starts a task wherever there is room

Change: after 1.5 s without any run, a job starts one task where memory and some processor time are free; it is slowed as far as the services beside it need. Runs are booked at the job by attach_run and detach_run.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -67,6 +67,9 @@
 inline constexpr std::int64_t service_use_percent{55};
 /// A task that uses leftover processor time needs at least this share of what it declares.
 inline constexpr std::int64_t least_leftover_percent{60};
+/// A job of which nothing has run for this long starts a task wherever there is room at all; users
+/// count a job as forgotten after 3 s.
+inline constexpr millis longest_idle{1'500};
 
 // Disturbance of services by tasks that use leftover processor time.
 /// Processors of an ordinary runner; the same use disturbs less on a larger one.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -134,6 +134,10 @@
     /// It was in the store when this term began: a task of it may run where nobody has looked yet.
     bool recovered{false};
     instant submitted_at;
+    /// Tasks whose `where` is set.
+    std::uint32_t active_runs{0};
+    /// Since when none is; valid while `active_runs` is 0.
+    instant idle_since;
     /// The objective's end; less is more urgent.
     instant due_at;
     /// When it ended; valid once `state` is completed, failed or cancelled.
--- a/src/central/jobs.cpp
+++ b/src/central/jobs.cpp
@@ -207,6 +207,7 @@
     job.spec = spec;
     job.treatment = treatment;
     job.submitted_at = submitted_at;
+    job.idle_since = submitted_at;
     job.due_at = submitted_at + objective(spec, treatment);
     const std::uint32_t count = std::max(spec.repeats.count, 1U);
     job.occurrences.resize(count);
@@ -244,6 +245,7 @@
             continue;
         }
         make_occurrence(job, k);
+        job.idle_since = c.now;
         for (std::uint32_t step{0}; step < o.steps.size(); ++step) {
             if (o.steps[step].waits_for == 0) {
                 begin_step(c, job, k, step);
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -108,6 +108,12 @@
 void stop_run(const context& c, const graph_task_id& id, run& r);
 /// Tasks that lose nothing by it leave a runner that is leaving.
 void leave_draining_runner(const context& c, runner_record& r);
+/// Books a run for a task, at the runner and at the job.
+void attach_run(const task_place& place, runner_record& r, const graph_task_id& id,
+                const run& started);
+/// Takes the task's run out of the books of its runner, if that is known still, and its job.
+void detach_run(const context& c, const task_place& place, runner_record* r,
+                const graph_task_id& id);
 /// Puts a run into the runner's books.
 void charge_run(runner_record& r, const task_place& place, const graph_task_id& id);
 /// Takes it out again.
@@ -126,9 +132,17 @@
 void place_ready_tasks(const context& c);
 /// \return the runners that take work now.
 std::vector<runner_record*> usable_runners(const context& c);
+/// What a task that uses leftover processor time asks of a runner.
+enum class room_wanted : std::uint8_t {
+    /// It runs at nearly full speed, and services there keep their targets.
+    full_speed,
+    /// Memory and some processor time; it may have to be slowed down.
+    any,
+};
 /// \return the best of them for a task, or null.
 runner_record* choose_runner(const context& c, const std::vector<runner_record*>& runners,
-                             const graph_task_id& id, const task_place& place);
+                             const graph_task_id& id, const task_place& place,
+                             room_wanted wanted = room_wanted::full_speed);
 
 // ---- relocation.cpp
 void relocate_slowed_tasks(const context& c);
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -60,7 +60,7 @@
                                    : left >= rise;
 }
 
-bool fits(const context& c, const runner_record& r, const task_place& place)
+bool fits(const context& c, const runner_record& r, const task_place& place, room_wanted wanted)
 {
     const graph_step& step = *place.step;
     if (!step.uses_leftover) {
@@ -69,16 +69,21 @@
     resources size = step.task_size;
     const std::int64_t least = size.milli_cores * config::least_leftover_percent / 100;
     size.milli_cores = 0;
-    return r.light_pace == 100 && spare_cores(r) >= least &&
-           (r.charged + size).fits(r.entry.capacity) && services_bear(c, r, place);
+    const bool has_memory = (r.charged + size).fits(r.entry.capacity);
+    if (wanted == room_wanted::any) {
+        return has_memory && spare_cores(r) > 0;
+    }
+    return has_memory && r.light_pace == 100 && spare_cores(r) >= least &&
+           services_bear(c, r, place);
 }
 
 bool may_run(const context& c, const runner_record& r, const graph_task_id& id,
-             const task_place& place)
+             const task_place& place, room_wanted wanted)
 {
     const graph_step& step = *place.step;
     const bool has_needed = step.required_label.empty() || has_label(r.entry, step.required_label);
-    return r.entry.service == place.job->treatment.service && has_needed && fits(c, r, place) &&
+    return r.entry.service == place.job->treatment.service && has_needed &&
+           fits(c, r, place, wanted) &&
            (step.max_per_runner == 0 || count_of_step(r, id) < step.max_per_runner);
 }
 
@@ -121,13 +126,13 @@
 
 /// \return false when no runner takes a task of this step.
 bool place_task(const context& c, const std::vector<runner_record*>& runners,
-                const graph_task_id& id)
+                const graph_task_id& id, room_wanted wanted = room_wanted::full_speed)
 {
     const task_place place = find_task(c.s, id);
     if (place.task->status != task_status::ready || place.task->where) {
         return true;
     }
-    runner_record* const r = choose_runner(c, runners, id, place);
+    runner_record* const r = choose_runner(c, runners, id, place, wanted);
     if (r == nullptr) {
         return false;
     }
@@ -166,6 +171,13 @@
     }
 }
 
+/// \return true when nothing of the job has run for so long that a task must start, also where it
+/// has to be slowed down at once.
+bool is_starved(const context& c, const job_record& job)
+{
+    return job.active_runs == 0 && c.now - job.idle_since >= config::longest_idle;
+}
+
 void place_step(const context& c, const std::vector<runner_record*>& runners, const ready_key& key)
 {
     graph_task_id id{key.job, key.occurrence, key.step, 0};
@@ -180,6 +192,9 @@
     const std::size_t count = first.progress->tasks.size();
     for (id.index = 0; id.index < count; ++id.index) {
         if (!place_task(c, runners, id)) {
+            if (is_starved(c, *first.job)) {
+                place_task(c, runners, id, room_wanted::any);
+            }
             return;
         }
     }
@@ -199,12 +214,12 @@
 }
 
 runner_record* choose_runner(const context& c, const std::vector<runner_record*>& runners,
-                             const graph_task_id& id, const task_place& place)
+                             const graph_task_id& id, const task_place& place, room_wanted wanted)
 {
     runner_record* best{nullptr};
     placement_score best_score;
     for (runner_record* const r : runners) {
-        if (!may_run(c, *r, id, place)) {
+        if (!may_run(c, *r, id, place, wanted)) {
             continue;
         }
         const placement_score s = score(c, *r, place);
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -298,9 +298,8 @@
     adopted.phase = run_phase::running;
     adopted.ordered_at = c.now;
     adopted.start_confirmed_at_hold = r.holds_sent;
-    place.task->where = adopted;
     place.task->last_run = std::max(place.task->last_run, reported.run);
-    charge_run(r, place, reported.task);
+    attach_run(place, r, reported.task, adopted);
     note_started(c, *place.job);
     log_run(c, "run_adopted", reported.task, adopted, "running");
     return true;
@@ -407,6 +406,26 @@
     r.charged -= size;
 }
 
+void attach_run(const task_place& place, runner_record& r, const graph_task_id& id,
+                const run& started)
+{
+    place.task->where = started;
+    ++place.job->active_runs;
+    charge_run(r, place, id);
+}
+
+void detach_run(const context& c, const task_place& place, runner_record* r,
+                const graph_task_id& id)
+{
+    if (r != nullptr) {
+        uncharge_run(*r, place, id);
+    }
+    place.task->where.reset();
+    if (--place.job->active_runs == 0) {
+        place.job->idle_since = c.now;
+    }
+}
+
 void start_run(const context& c, const graph_task_id& id, task_place place, runner_record& r,
                run_number number)
 {
@@ -418,8 +437,7 @@
     started.number = number;
     started.ordered_at = c.now;
     started.start_in_flight = true;
-    place.task->where = started;
-    charge_run(r, place, id);
+    attach_run(place, r, id, started);
     if (place.step->uses_leftover) {
         expect_disturbance(c, r);
     }
@@ -463,10 +481,7 @@
 
 void release_run(const context& c, const graph_task_id& id, task_place place)
 {
-    if (runner_record* const r = find_runner(c, place.task->where->runner)) {
-        uncharge_run(*r, place, id);
-    }
-    place.task->where.reset();
+    detach_run(c, place, find_runner(c, place.task->where->runner), id);
     make_ready_again(c, id, place);
     c.s.scheduler.placement_due = true;
 }
@@ -509,8 +524,7 @@
     }
     if (is_run(place, r.entry.id, e.run)) {
         log_run(c, "run_ended", e.task, *place.task->where, name_of(e.cause));
-        uncharge_run(r, place, e.task);
-        place.task->where.reset();
+        detach_run(c, place, &r, e.task);
     }
     place.task->last_run = std::max(place.task->last_run, e.run);
     if (!e.checkpoint.empty() && place.task->status != task_status::done) {
--- a/tests/central/disturbance_bench.h
+++ b/tests/central/disturbance_bench.h
@@ -59,8 +59,7 @@
         started.phase = run_phase::running;
         started.load = load;
         place.task->status = task_status::active;
-        place.task->where = started;
-        charge_run(r, place, id);
+        attach_run(place, r, id, started);
     }
 };
 
--- a/tests/test_central_relocation.cpp
+++ b/tests/test_central_relocation.cpp
@@ -40,6 +40,14 @@
     graph_step& step() { return s.scheduler.jobs.at({"beside2"}).spec.steps[0]; }
     run& slowed() { return *find_task(s, {{"beside2"}, 0, 0, 0}).task->where; }
 
+    void place(millis later)
+    {
+        now = now + later;
+        s.lease.renewed_at = now;
+        s.scheduler.placement_due = true;
+        place_ready_tasks(at());
+    }
+
     bool is_moved()
     {
         relocate_slowed_tasks(at());
@@ -87,6 +95,21 @@
     cr_assert(b.is_moved());
 }
 
+/// Seen on kdl-accra, hunt-abe0-3: the only task of a job was moved away, found its new place
+/// taken, and waited until the day was over though most processors were idle.
+Test(central_relocation, a_job_of_which_nothing_runs_starts_even_where_it_is_slowed)
+{
+    slowed_task b;
+    b.s.scheduler.runners.at({"r1"}).entry.draining = true;
+    job_record& job = b.add_job("waiting", "f", false);
+    b.s.scheduler.recovering = false;
+    make_ready(b.at(), {{"waiting"}, 0, 0, 0}, find_task(b.s, {{"waiting"}, 0, 0, 0}));
+    b.place(millis{1'000});
+    cr_assert_eq(job.active_runs, 0);
+    b.place(millis{1'000});
+    cr_assert_eq(job.active_runs, 1);
+}
+
 Test(central_relocation, a_move_has_to_shorten_what_is_left_clearly)
 {
     graph_step step;
