--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -97,6 +97,11 @@
 /// Above this, in percent a core, a task is kept off runners with services where there are others.
 inline constexpr double heavy_percent_per_core{1.2};
 
+/// What was learned goes along with a commit this often.
+inline constexpr millis disturbance_store_period{2'000};
+/// A row holds up to 64 KiB: 12 bytes for each pair of images, and their names.
+inline constexpr std::size_t max_stored_images{64};
+
 // Pacing.
 /// Rise of a service's tail, in percent of its target, that tasks beside it may cause.
 inline constexpr double first_rise_budget{25};
--- a/include/cuminmoor/central/event.h
+++ b/include/cuminmoor/central/event.h
@@ -116,6 +116,8 @@
     progress,
     /// Runners on which something may run, also while the register does not list them.
     used_runners,
+    /// One row: which images disturb each other, as far as it is known.
+    disturbance,
     /// What the operator wrote; only read.
     operators,
     /// The runners' register; only read.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -251,6 +251,15 @@
     std::uint32_t reports{0};
 };
 
+/// What is known of disturbance; a successor goes on from what the store has of it.
+struct learned_disturbance {
+    std::map<std::string, image_number> images;
+    /// By the service's image and its neighbour's: square, as large as `images`.
+    std::vector<std::vector<image_pressure>> pressures;
+    /// Share of its target that a service's tail takes when nothing disturbs it, in percent.
+    double undisturbed_percent{config::first_undisturbed_percent};
+};
+
 // ---- Store ---------------------------------------------------------------------------------
 
 /// The scheduler's lease as its row says.
@@ -345,6 +354,7 @@
     table_reading jobs;
     table_reading progress;
     table_reading used_runners;
+    table_reading disturbance;
 };
 
 /// What only the holder of the lease has.
@@ -356,13 +366,9 @@
     std::map<queue_id, std::uint64_t> pending;
     commit_state commits;
     loading_state loading;
-    /// All images that were seen in this term.
-    std::map<std::string, image_number> images;
-    /// Learned in this term, by the service's image and its neighbour's: square, as large as
-    /// `images`.
-    std::vector<std::vector<image_pressure>> pressures;
-    /// Share of its target that a service's tail takes when nothing disturbs it, in percent.
-    double undisturbed_percent{config::first_undisturbed_percent};
+    learned_disturbance learned;
+    /// When a commit last took it along.
+    instant learned_stored_at;
     bool register_known{false};
     /// Until then, or until all runners have answered, tasks of recovered jobs wait.
     instant recovery_ends_by;
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -102,6 +102,18 @@
             r.started_at_ms);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, image_pressure& p)
+{
+    archive(p.log_odds, p.reports);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, learned_disturbance& l)
+{
+    archive(l.images, l.pressures, l.undisturbed_percent);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, stored_job& j)
 {
@@ -202,6 +214,31 @@
     return decode<runner_entry>(text, "used runner");
 }
 
+std::string encode_disturbance(const learned_disturbance& learned)
+{
+    return encode(learned);
+}
+
+absl::StatusOr<learned_disturbance> decode_disturbance(const std::string& text)
+{
+    auto learned = decode<learned_disturbance>(text, "learned disturbance");
+    if (!learned.ok()) {
+        return learned;
+    }
+    const std::size_t count = learned->images.size();
+    bool fits = learned->pressures.size() == count;
+    for (const auto& row : learned->pressures) {
+        fits = fits && row.size() == count;
+    }
+    for (const auto& [name, number] : learned->images) {
+        fits = fits && number < count;
+    }
+    if (!fits) {
+        return absl::InvalidArgumentError("learned disturbance: pairs do not match the images");
+    }
+    return learned;
+}
+
 std::string encode_progress(const job_record& job)
 {
     stored_progress progress{job.state, {}};
--- a/src/central/commits.cpp
+++ b/src/central/commits.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 const table_key head_key{table::head, "newest"};
+const table_key disturbance_key{table::disturbance, "learned"};
 
 void add_job(const context& c, open_commit& commit, job_record& job)
 {
@@ -87,6 +88,18 @@
     }
 }
 
+/// What was learned of disturbance goes along now and then; a successor only starts the wiser.
+void add_disturbance(const context& c, open_commit& commit)
+{
+    scheduler_state& s = c.s.scheduler;
+    const bool is_due = c.now >= s.learned_stored_at + config::disturbance_store_period;
+    if (!is_due || s.learned.images.size() > config::max_stored_images) {
+        return;
+    }
+    s.learned_stored_at = c.now;
+    commit.body.changes.push_back({disturbance_key, encode_disturbance(s.learned)});
+}
+
 void send(const context& c)
 {
     commit_state& commits = c.s.scheduler.commits;
@@ -120,6 +133,7 @@
     add_jobs(c, commit);
     add_removals(c, commit);
     add_runners(c, commit);
+    add_disturbance(c, commit);
     commits.open = std::move(commit);
     send(c);
 }
--- a/src/central/disturbance.cpp
+++ b/src/central/disturbance.cpp
@@ -57,7 +57,7 @@
 
 double percent_per_core(const central_state& s, image_number service, image_number neighbour)
 {
-    const double odds = s.scheduler.pressures[service][neighbour].log_odds;
+    const double odds = s.scheduler.learned.pressures[service][neighbour].log_odds;
     if (std::abs(odds) < config::known_log_odds) {
         return config::unknown_percent_per_core;
     }
@@ -76,7 +76,7 @@
     for (const auto& [image, cores] : use) {
         if (cores >= config::telling_use_cores) {
             const double evidence = cores / (2 * config::telling_use_cores);
-            add_evidence(s.scheduler.pressures[service][image],
+            add_evidence(s.scheduler.learned.pressures[service][image],
                          -std::min(evidence, config::max_quiet_evidence));
         }
     }
@@ -85,7 +85,7 @@
 /// The service suffers: its neighbours share the blame, by their use and by how likely each is.
 void blame_neighbours(central_state& s, image_number service, const image_use& use)
 {
-    auto& pressures = s.scheduler.pressures[service];
+    auto& pressures = s.scheduler.learned.pressures[service];
     const auto suspicion = [&pressures](image_number image, double cores) {
         const double odds = std::exp(pressures[image].log_odds);
         return cores >= config::blamed_use_cores ? cores * odds / (1 + odds) : 0.0;
@@ -146,7 +146,7 @@
 
 void number_images(const context& c, job_record& job)
 {
-    scheduler_state& s = c.s.scheduler;
+    learned_disturbance& s = c.s.scheduler.learned;
     job.images.clear();
     for (const graph_step& step : job.spec.steps) {
         const auto next = static_cast<image_number>(s.images.size());
@@ -164,7 +164,7 @@
         return;
     }
     const image_use use = use_by_image(c, r);
-    double& undisturbed = c.s.scheduler.undisturbed_percent;
+    double& undisturbed = c.s.scheduler.learned.undisturbed_percent;
     for (const auto& [image, share] : shares_by_image(c, r)) {
         if (use.empty()) {
             undisturbed += config::undisturbed_weight * (share - undisturbed);
--- a/src/central/loading.cpp
+++ b/src/central/loading.cpp
@@ -25,6 +25,7 @@
     read_next_page(c, table::jobs, l.jobs);
     read_next_page(c, table::progress, l.progress);
     read_next_page(c, table::used_runners, l.used_runners);
+    read_next_page(c, table::disturbance, l.disturbance);
 }
 
 table_reading* reading_of(loading_state& l, table where)
@@ -36,6 +37,8 @@
         return &l.progress;
     case table::used_runners:
         return &l.used_runners;
+    case table::disturbance:
+        return &l.disturbance;
     default:
         return nullptr;
     }
@@ -148,6 +151,18 @@
     std::erase(c.s.scheduler.commits.runners_to_add, runner_id{id});
 }
 
+/// Without it the scheduler learns anew.
+void restore_disturbance(const context& c, const std::string& value)
+{
+    auto learned = decode_disturbance(value);
+    if (learned.ok()) {
+        c.s.scheduler.learned = *std::move(learned);
+    }
+    else {
+        c.log("disturbance_unreadable", {{"reason", std::string{learned.status().message()}}});
+    }
+}
+
 /// \return when all leases that an earlier holder gave have expired at the latest. It stops to
 /// extend them when it could not renew its own for a while.
 instant earlier_leases_end(const context& c)
@@ -174,6 +189,9 @@
     for (const auto& [id, value] : s.loading.used_runners.rows) {
         restore_runner(c, id, value);
     }
+    for (const auto& [key, value] : s.loading.disturbance.rows) {
+        restore_disturbance(c, value);
+    }
     s.loading = {};
 }
 
@@ -265,7 +283,9 @@
         return;
     }
     const loading_state& l = c.s.scheduler.loading;
-    if (l.jobs.is_whole && l.progress.is_whole && l.used_runners.is_whole) {
+    const bool is_whole =
+        l.jobs.is_whole && l.progress.is_whole && l.used_runners.is_whole && l.disturbance.is_whole;
+    if (is_whole) {
         begin_scheduling(c);
     }
     else {
--- a/tests/test_central_disturbance.cpp
+++ b/tests/test_central_disturbance.cpp
@@ -2,6 +2,7 @@
 /// What disturbs services: learned from reports, kept apart by placement, slowed down by pacing.
 #include <criterion/criterion.h>
 
+#include "../src/central/codec.h"
 #include "central/disturbance_bench.h"
 
 using namespace cuminmoor::central;
@@ -45,7 +46,7 @@
     for (int i{0}; i < 8; ++i) {
         learn_disturbance(b.at(), r);
     }
-    cr_assert_eq(b.s.scheduler.pressures[0][1].reports, 0);
+    cr_assert_eq(b.s.scheduler.learned.pressures[0][1].reports, 0);
 }
 
 Test(central_disturbance, what_disturbs_is_slowed_down_at_once_and_stopped_if_it_lasts)
@@ -79,3 +80,30 @@
     }
     cr_assert_gt(r.heavy_pace, 20);
 }
+
+Test(central_disturbance, what_was_learned_survives_its_row)
+{
+    learned_disturbance learned;
+    learned.images = {{"f", 1}, {"s", 0}};
+    learned.pressures.assign(2, std::vector<image_pressure>(2));
+    learned.pressures[0][1] = {3.5, 7};
+    learned.undisturbed_percent = 41;
+    const auto again = decode_disturbance(encode_disturbance(learned));
+    cr_assert(again.ok());
+    cr_assert(again->images == learned.images);
+    cr_assert_eq(again->pressures[0][1].log_odds, 3.5);
+    cr_assert_eq(again->pressures[0][1].reports, 7);
+    cr_assert_eq(again->undisturbed_percent, 41);
+}
+
+Test(central_disturbance, a_row_whose_pairs_do_not_match_its_images_is_refused)
+{
+    learned_disturbance learned;
+    learned.images = {{"f", 1}, {"s", 0}};
+    learned.pressures.assign(1, std::vector<image_pressure>(2));
+    cr_assert_not(decode_disturbance(encode_disturbance(learned)).ok());
+    learned.pressures.assign(2, std::vector<image_pressure>(2));
+    learned.images["f"] = 5;
+    cr_assert_not(decode_disturbance(encode_disturbance(learned)).ok());
+    cr_assert_not(decode_disturbance("no row of ours").ok());
+}
--- a/tests/test_central_jobs.cpp
+++ b/tests/test_central_jobs.cpp
@@ -158,3 +158,29 @@
     }
     expect_no_violation(w);
 }
+
+/// Seen on kdl-accra, scale-1: after all processes were killed, twice as many tasks crawled beside
+/// services as before, since the successor had to learn anew which images disturb each other.
+Test(central_jobs, a_successor_goes_on_from_what_was_learned_of_disturbance)
+{
+    central_world w{{}};
+    w.run_for(warm_up);
+    graph_job job = central_world::make_job(id_of(1), 1, 1, {100});
+    job.steps[0].image = "loom";
+    w.submit(0, job);
+    w.run_for({3'000});
+    // A later commit takes along what was learned meanwhile.
+    w.submit(0, central_world::make_job(id_of(2), 1, 1, {100}));
+    w.run_for({1'000});
+    for (std::size_t vm{0}; vm < 3; ++vm) {
+        w.kill(vm);
+    }
+    for (std::size_t vm{0}; vm < 3; ++vm) {
+        w.restart(vm);
+    }
+    w.run_for({8'000});
+    cr_assert(w.scheduler().has_value());
+    const auto& learned = w.state_of(*w.scheduler()).scheduler.learned;
+    cr_assert(learned.images.contains("loom"));
+    expect_no_violation(w);
+}
