Runs: starts, answers to orders and reports stand in a file each; one to_string for addresses

What a start, a stop and a change of speed have in common is filled in by make_order; the text of an address was written twice.

--- a/daemon/address.cpp
+++ b/daemon/address.cpp
@@ -31,4 +31,10 @@
     return address;
 }
 
+std::string to_string(const ip_address& address)
+{
+    const bool is_v6 = address.ip.find(':') != std::string::npos;
+    return (is_v6 ? "[" + address.ip + "]" : address.ip) + ":" + std::to_string(address.port);
+}
+
 } // namespace cuminmoor::io
--- a/daemon/address.h
+++ b/daemon/address.h
@@ -18,4 +18,7 @@
 /// Reads "a.b.c.d:port" or "[a:b::c]:port".
 absl::StatusOr<ip_address> parse_address(const std::string& text);
 
+/// \return the text that `parse_address` reads.
+std::string to_string(const ip_address& address);
+
 } // namespace cuminmoor::io
--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -27,11 +27,6 @@
 constexpr long connections_per_address{12};
 constexpr millis last_flush{500};
 
-std::string join(const ip_address& a)
-{
-    return a.ip + ":" + std::to_string(a.port);
-}
-
 central::central_state make_state(const settings& s)
 {
     std::random_device random;
@@ -39,7 +34,7 @@
     central::central_state initial;
     initial.self.vm = s.vm;
     initial.self.failure_domain = s.failure_domain;
-    initial.self.address = join(s.peer);
+    initial.self.address = to_string(s.peer);
     initial.self.incarnation = (std::uint64_t{random()} << bits) | random();
     initial.self.max_hold = s.max_hold;
     initial.self.keep_ended = s.keep_ended;
@@ -67,8 +62,8 @@
 
     absl::Status start()
     {
-        log_.add("started", {{"callers", join(settings_.http)},
-                             {"peers", join(settings_.peer)},
+        log_.add("started", {{"callers", to_string(settings_.http)},
+                             {"peers", to_string(settings_.peer)},
                              {"platform", settings_.platform}});
         if (auto listening = peers_.start(); !listening.ok()) {
             return listening;
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -185,12 +185,6 @@
     return flags.count("check") > 0 ? run_mode::check : run_mode::serve;
 }
 
-std::string join(const ip_address& a)
-{
-    const bool is_v6 = a.ip.find(':') != std::string::npos;
-    return (is_v6 ? "[" + a.ip + "]" : a.ip) + ":" + std::to_string(a.port);
-}
-
 absl::StatusOr<settings> read_values(value_reader reader, run_mode mode)
 {
     settings s;
@@ -202,7 +196,7 @@
     s.http = reader.address(http);
     s.peer = reader.address(peer);
     const ip_address platform_address = reader.address(platform);
-    s.platform = join(platform_address);
+    s.platform = to_string(platform_address);
     s.traffic_threads = reader.threads(threads);
     s.least_log_level = reader.level(level);
     s.scheduling = reader.scheduling(scheduling);
@@ -255,12 +249,12 @@
 {
     std::ostringstream out;
     out << "vm=" << s.vm.value << "\nfailure-domain=" << s.failure_domain.value
-        << "\nhttp-address=" << join(s.http) << "\npeer-address=" << join(s.peer)
+        << "\nhttp-address=" << to_string(s.http) << "\npeer-address=" << to_string(s.peer)
         << "\nplatform=" << s.platform << "\ntraffic-threads=" << s.traffic_threads
         << "\nlog-level=" << level_names.at(static_cast<std::size_t>(s.least_log_level)).name
         << "\n";
     if (s.scheduling == scheduling_mode::central) {
-        out << "scheduling=central\nreadiness-address=" << join(s.readiness)
+        out << "scheduling=central\nreadiness-address=" << to_string(s.readiness)
             << "\nmax-hold-ms=" << s.max_hold.count
             << "\nkeep-ended-s=" << s.keep_ended.count / ms_per_second << "\n";
     }
--- a/src/central/pacing.cpp
+++ b/src/central/pacing.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Pacing: tasks that use leftover processor time slow down so far that the services beside them
 /// keep their latency targets.
-#include "parts.h"
+#include "runs.h"
 
 #include <algorithm>
 #include <cmath>
@@ -79,13 +79,7 @@
 void order_pace(const context& c, const runner_record& r, const graph_task_id& id, run& paced,
                 std::uint32_t speed)
 {
-    runner_order order;
-    order.kind = order_kind::pace;
-    order.runner = r.entry.id;
-    order.address = r.entry.address;
-    order.term = c.s.lease.term;
-    order.task = id;
-    order.run = paced.number;
+    runner_order order = make_order(c, r, id, order_kind::pace, paced.number);
     order.percent = speed;
     paced.pace = speed;
     c.add(std::move(order));
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -101,8 +101,10 @@
 /// \return the longest time that a lease given now lasts, also when the runner's clock is slow.
 millis longest_lease(const central_state& s);
 
-// ---- runs.cpp: starting, stopping and ending of runs
+// ---- run_orders.cpp: answers to orders
 void on_order_ended(const context& c, const runner_order_ended& e);
+
+// ---- runs.cpp: starting and stopping of runs, and their books
 void start_run(const context& c, const graph_task_id& id, task_place place, runner_record& r,
                run_number number);
 void stop_run(const context& c, const graph_task_id& id, run& r);
@@ -120,14 +122,16 @@
 void uncharge_run(runner_record& r, const task_place& place, const graph_task_id& id);
 /// The run certainly runs no longer: its room is free, and the task may start again.
 void release_run(const context& c, const graph_task_id& id, task_place place);
-void work_in_end(const context& c, runner_record& r, const reported_end& e);
-void work_in_running(const context& c, runner_record& r, const std::vector<reported_run>& reported);
 void check_stops(const context& c, runner_record& r);
 /// The runner's life is over, or its leases have expired: nothing runs there.
 void lose_all_runs(const context& c, runner_record& r, const std::string& cause);
 /// The runner has begun a new life: only what it reports runs there, or has ended there.
 void keep_reported_runs(const context& c, runner_record& r, const runner_hold_ended& report);
 
+// ---- run_reports.cpp: what runners report
+void work_in_end(const context& c, runner_record& r, const reported_end& e);
+void work_in_running(const context& c, runner_record& r, const std::vector<reported_run>& reported);
+
 // ---- placement.cpp
 void place_ready_tasks(const context& c);
 /// \return the runners that take work now.
--- /dev/null
+++ b/src/central/run_orders.cpp
@@ -0,0 +1,174 @@
+/// \file
+/// Answers to orders: what a runner's answer, or none, says of a start, a stop or a change of
+/// speed.
+#include "runs.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace cuminmoor::central {
+
+namespace {
+
+const char* name_of(order_result result)
+{
+    switch (result) {
+    case order_result::done:
+        return "done";
+    case order_result::fenced:
+        return "fenced";
+    case order_result::superseded:
+        return "superseded";
+    case order_result::expired:
+        return "expired";
+    case order_result::no_room:
+        return "no_room";
+    case order_result::unwell:
+        return "unwell";
+    case order_result::other_life:
+        return "other_life";
+    case order_result::malformed:
+        return "malformed";
+    case order_result::not_sent:
+        return "not_sent";
+    case order_result::unknown:
+        return "unknown";
+    }
+    return "";
+}
+
+void on_start_done(const context& c, const graph_task_id& id, task_place place, runner_record& r)
+{
+    run& started = *place.task->where;
+    if (started.life_in_doubt) {
+        stop_run(c, id, started);
+        return;
+    }
+    started.start_confirmed_at_hold = r.holds_sent;
+    if (started.phase == run_phase::starting) {
+        started.phase = run_phase::running;
+        note_started(c, *place.job);
+    }
+    if (place.step->uses_leftover) {
+        pace_runner(c, r);
+    }
+}
+
+/// The runner has certainly not started it.
+void on_start_refused(const context& c, const runner_order_ended& e, task_place place,
+                      runner_record* r)
+{
+    log_run(c, "start_refused", e.task, *place.task->where, name_of(e.result));
+    if (e.result == order_result::other_life) {
+        release_run(c, e.task, place);
+        if (r != nullptr) {
+            lose_all_runs(c, *r, "another life answers at the runner's address");
+            r->confirmed = false;
+        }
+        return;
+    }
+    if (r != nullptr) {
+        r->avoided_until = std::max(r->avoided_until, c.now + config::unwell_time);
+    }
+    if (e.result == order_result::malformed) {
+        fail_task(c, e.task, place);
+    }
+    release_run(c, e.task, place);
+}
+
+void on_start_ended(const context& c, const runner_order_ended& e, runner_record* r)
+{
+    const task_place place = find_task(c.s, e.task);
+    // Superseded: the run may have been started, and have ended, by an order that seemed lost.
+    const bool may_run = e.result == order_result::done || e.result == order_result::unknown ||
+                         e.result == order_result::superseded;
+    if (!is_run(place, e.runner, e.run)) {
+        if (may_run && r != nullptr) {
+            stop_foreign(c, *r, e.task, e.run);
+        }
+        return;
+    }
+    run& started = *place.task->where;
+    started.start_in_flight = false;
+    if (!may_run || r == nullptr) {
+        on_start_refused(c, e, place, r);
+        return;
+    }
+    if (e.result == order_result::done) {
+        on_start_done(c, e.task, place, *r);
+        return;
+    }
+    log_run(c, "start_uncertain", e.task, started, name_of(e.result));
+    stop_run(c, e.task, started);
+}
+
+template <typename Run>
+void note_stop(const context& c, Run& stopped, const runner_order_ended& e, const runner_record& r)
+{
+    stopped.stop_in_flight = false;
+    const bool is_confirmed =
+        e.result == order_result::done || e.result == order_result::superseded;
+    if (is_confirmed) {
+        stopped.stop_confirmed_at_hold = r.holds_sent;
+    }
+    else {
+        stopped.stop_again_at = c.now + config::stop_retry;
+        c.wake(stopped.stop_again_at);
+    }
+}
+
+void on_stop_ended(const context& c, const runner_order_ended& e, runner_record* r)
+{
+    if (r == nullptr) {
+        return;
+    }
+    const task_place place = find_task(c.s, e.task);
+    if (is_run(place, e.runner, e.run)) {
+        note_stop(c, *place.task->where, e, *r);
+        return;
+    }
+    const auto found = r->foreign.find(e.task);
+    if (found != r->foreign.end() && found->second.number == e.run) {
+        note_stop(c, found->second, e, *r);
+    }
+}
+
+void on_pace_ended(const context& c, const runner_order_ended& e)
+{
+    const task_place place = find_task(c.s, e.task);
+    if (is_run(place, e.runner, e.run) && e.result != order_result::done) {
+        // Neither speed is certain: the next report orders it again.
+        place.task->where->pace = UINT32_MAX;
+    }
+}
+
+} // namespace
+
+void on_order_ended(const context& c, const runner_order_ended& e)
+{
+    if (!c.is_scheduler()) {
+        return;
+    }
+    runner_record* const r = find_runner(c, e.runner);
+    if (e.result == order_result::fenced) {
+        step_down(c, "a runner has seen a higher term");
+        return;
+    }
+    if (r != nullptr && e.clock && r->clock) {
+        r->clock = clock_sample{*e.clock, c.now};
+    }
+    switch (e.kind) {
+    case order_kind::start:
+        on_start_ended(c, e, r);
+        break;
+    case order_kind::stop:
+        on_stop_ended(c, e, r);
+        break;
+    case order_kind::pace:
+        on_pace_ended(c, e);
+        break;
+    }
+}
+
+} // namespace cuminmoor::central
--- /dev/null
+++ b/src/central/run_reports.cpp
@@ -0,0 +1,208 @@
+/// \file
+/// Reports of runners: ends are worked in, runs of earlier terms adopted, missing ones noticed.
+#include "runs.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace cuminmoor::central {
+
+namespace {
+
+const char* name_of(end_cause cause)
+{
+    switch (cause) {
+    case end_cause::done:
+        return "done";
+    case end_cause::failed:
+        return "failed";
+    case end_cause::stopped:
+        return "stopped";
+    case end_cause::lease_expired:
+        return "lease_expired";
+    case end_cause::gang_broken:
+        return "gang_broken";
+    case end_cause::gang_incomplete:
+        return "gang_incomplete";
+    }
+    return "";
+}
+
+/// A member of a gang that is done stands for all of them.
+void finish_tasks(const context& c, const graph_task_id& id, task_place place)
+{
+    if (!place.step->is_gang) {
+        finish_task(c, id, place);
+        return;
+    }
+    for (std::uint32_t i{0}; i < place.progress->tasks.size(); ++i) {
+        graph_task_id member = id;
+        member.index = i;
+        const task_place each = find_task(c.s, member);
+        if (each && each.task->status != task_status::done) {
+            finish_task(c, member, each);
+        }
+    }
+}
+
+void count_failure(const context& c, const reported_end& e, task_place place, runner_record& r)
+{
+    ++r.failures_in_a_row;
+    if (r.failures_in_a_row >= config::failures_to_avoid) {
+        r.avoided_until = c.now + config::avoid_time;
+        c.log("runner_avoided", {{"runner", r.entry.id.value},
+                                 {"failures", absl::StrCat(r.failures_in_a_row)},
+                                 {"for_ms", absl::StrCat(config::avoid_time.count)}});
+    }
+    auto& counted = place.task->failed_runs;
+    if (std::find(counted.begin(), counted.end(), e.run) != counted.end()) {
+        return;
+    }
+    if (!place.step->is_service) {
+        counted.push_back(e.run);
+    }
+    place.task->failed_on = r.entry.id;
+    fail_task(c, e.task, place);
+}
+
+/// What an end means for its task, once it is off the runner's books.
+void apply_end(const context& c, const reported_end& e, task_place place, runner_record& r)
+{
+    if (e.cause == end_cause::done) {
+        r.failures_in_a_row = 0;
+        if (place.task->status != task_status::done) {
+            finish_tasks(c, e.task, place);
+        }
+        if (place.task->where) {
+            stop_run(c, e.task, *place.task->where);
+        }
+        return;
+    }
+    if (e.cause == end_cause::failed) {
+        count_failure(c, e, place, r);
+    }
+    else if (!e.checkpoint.empty()) {
+        mark_changed(c, *place.job);
+    }
+}
+
+/// A run that a runner reports and that no start of this term stands for: it was started in an
+/// earlier term, and goes on.
+bool adopt(const context& c, runner_record& r, const reported_run& reported, task_place place)
+{
+    const bool is_wanted = place && !place.job->is_over() && !place.task->where &&
+                           place.task->status != task_status::done &&
+                           reported.run > place.task->last_run;
+    if (!is_wanted) {
+        return false;
+    }
+    unlist_ready(c, reported.task, place);
+    place.task->status = task_status::active;
+    run adopted;
+    adopted.runner = r.entry.id;
+    adopted.number = reported.run;
+    adopted.phase = run_phase::running;
+    adopted.ordered_at = c.now;
+    adopted.start_confirmed_at_hold = r.holds_sent;
+    place.task->last_run = std::max(place.task->last_run, reported.run);
+    attach_run(place, r, reported.task, adopted);
+    note_started(c, *place.job);
+    log_run(c, "run_adopted", reported.task, adopted, "running");
+    return true;
+}
+
+void note_report(const context& c, runner_record& r, const reported_run& reported)
+{
+    const task_place place = find_task(c.s, reported.task);
+    const bool is_known = is_run(place, r.entry.id, reported.run);
+    if (!is_known && !adopt(c, r, reported, place)) {
+        stop_foreign(c, r, reported.task, reported.run);
+        return;
+    }
+    run& known = *place.task->where;
+    known.load = reported.load;
+    known.progress = reported.percent;
+    if (!reported.checkpoint.empty()) {
+        place.task->checkpoint = reported.checkpoint;
+    }
+    if (known.phase == run_phase::starting) {
+        known.phase = run_phase::running;
+        known.start_confirmed_at_hold = r.holds_sent;
+        note_started(c, *place.job);
+    }
+}
+
+/// Runs that a report should list and does not.
+void check_missing(const context& c, runner_record& r, const std::set<graph_task_id>& listed)
+{
+    const std::vector<graph_task_id> known{r.runs.begin(), r.runs.end()};
+    for (const graph_task_id& id : known) {
+        const task_place place = find_task(c.s, id);
+        if (listed.contains(id) || !place || !place.task->where) {
+            continue;
+        }
+        run& missing = *place.task->where;
+        const auto is_older = [&r](std::uint64_t hold) { return hold != 0 && hold < r.holds_sent; };
+        if (is_older(missing.stop_confirmed_at_hold)) {
+            log_run(c, "run_gone", id, missing, "stopped and no longer listed");
+            release_run(c, id, place);
+        }
+        else if (is_older(missing.start_confirmed_at_hold) && missing.phase == run_phase::running) {
+            log_run(c, "run_missing", id, missing, "its stop is ordered");
+            stop_run(c, id, missing);
+        }
+    }
+    std::erase_if(r.foreign, [&](const auto& f) {
+        const std::uint64_t hold = f.second.stop_confirmed_at_hold;
+        return hold != 0 && hold < r.holds_sent && !listed.contains(f.first);
+    });
+}
+
+} // namespace
+
+void work_in_end(const context& c, runner_record& r, const reported_end& e)
+{
+    const auto foreign = r.foreign.find(e.task);
+    if (foreign != r.foreign.end() && foreign->second.number <= e.run) {
+        r.foreign.erase(foreign);
+    }
+    const task_place place = find_task(c.s, e.task);
+    if (!place) {
+        return;
+    }
+    if (is_run(place, r.entry.id, e.run)) {
+        log_run(c, "run_ended", e.task, *place.task->where, name_of(e.cause));
+        detach_run(c, place, &r, e.task);
+    }
+    place.task->last_run = std::max(place.task->last_run, e.run);
+    if (!e.checkpoint.empty() && place.task->status != task_status::done) {
+        place.task->checkpoint = e.checkpoint;
+    }
+    if (place.job->is_over() && place.job->shown != place.job->state) {
+        // Until the store knows that the job is over, a successor may need this end.
+        r.last_end_change = c.s.scheduler.commits.last_change;
+    }
+    if (!place.job->is_over()) {
+        const std::uint64_t before = c.s.scheduler.commits.last_change;
+        apply_end(c, e, place, r);
+        const std::uint64_t after = c.s.scheduler.commits.last_change;
+        r.last_end_change = after > before ? after : r.last_end_change;
+        // The job may be over now, and gone from the books.
+        if (const task_place again = find_task(c.s, e.task)) {
+            make_ready_again(c, e.task, again);
+        }
+    }
+}
+
+void work_in_running(const context& c, runner_record& r, const std::vector<reported_run>& reported)
+{
+    std::set<graph_task_id> listed;
+    for (const reported_run& each : reported) {
+        listed.insert(each.task);
+        note_report(c, r, each);
+    }
+    check_missing(c, r, listed);
+}
+
+} // namespace cuminmoor::central
