Recovery: tasks seen running in this term no longer wait for runners that are gone

Ruled out: room (66 runners, most half idle), the register (the other runners were listed). Change: a task that a runner reported running in this term, that was started in this term, or that depends on one whose end only this term has seen, cannot run where nobody has looked: it may start.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -92,6 +92,9 @@
     /// Highest number given or seen.
     run_number last_run;
     std::string checkpoint;
+    /// A runner has reported it running in this term, or it was started in this term, or it could
+    /// not start earlier: no run of it is left where nobody has looked yet.
+    bool is_located{false};
     /// Set exactly while `status` is active, or while a stopped run of a job that is over ends.
     std::optional<run> where;
 };
--- a/src/central/jobs.cpp
+++ b/src/central/jobs.cpp
@@ -37,10 +37,13 @@
     return {job.treatment.priority, job.due_at, id.job, id.occurrence, id.step};
 }
 
-void begin_step(const context& c, job_record& job, std::uint32_t occurrence, std::uint32_t step)
+/// \param is_located no run of an earlier term can be left of it.
+void begin_step(const context& c, job_record& job, std::uint32_t occurrence, std::uint32_t step,
+                bool is_located = false)
 {
     step_record& progress = job.occurrences[occurrence].steps[step];
     for (std::uint32_t i{0}; i < progress.tasks.size(); ++i) {
+        progress.tasks[i].is_located = progress.tasks[i].is_located || is_located;
         const graph_task_id id{job.spec.id, occurrence, step, i};
         if (progress.tasks[i].status == task_status::blocked) {
             make_ready(c, id, find_task(c.s, id));
@@ -48,7 +51,10 @@
     }
 }
 
-void finish_step(const context& c, job_record& job, std::uint32_t occurrence, std::uint32_t step)
+/// \param was_located the last task was seen running in this term: no earlier term saw it end, so
+/// none started what depends on it.
+void finish_step(const context& c, job_record& job, std::uint32_t occurrence, std::uint32_t step,
+                 bool was_located)
 {
     occurrence_record& o = job.occurrences[occurrence];
     --o.unfinished_steps;
@@ -58,7 +64,7 @@
             continue;
         }
         if (--o.steps[later].waits_for == 0) {
-            begin_step(c, job, occurrence, later);
+            begin_step(c, job, occurrence, later, was_located);
         }
     }
     if (o.unfinished_steps == 0 && --job.unfinished_occurrences == 0) {
@@ -304,7 +310,7 @@
     note_started(c, *place.job);
     mark_changed(c, *place.job);
     if (--place.progress->unfinished == 0) {
-        finish_step(c, *place.job, id.occurrence, id.step);
+        finish_step(c, *place.job, id.occurrence, id.step, place.task->is_located);
     }
 }
 
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -124,12 +124,19 @@
     return {std::max(task.last_run.value + 1, first_of_term)};
 }
 
+/// \return true while a run of an earlier term may go on where nobody has looked yet.
+bool may_run_unseen(const context& c, const task_place& place, const task_record& task)
+{
+    return place.job->recovered && c.s.scheduler.recovering && !task.is_located;
+}
+
 /// \return false when no runner takes a task of this step.
 bool place_task(const context& c, const std::vector<runner_record*>& runners,
                 const graph_task_id& id, room_wanted wanted = room_wanted::full_speed)
 {
     const task_place place = find_task(c.s, id);
-    if (place.task->status != task_status::ready || place.task->where) {
+    const bool is_startable = place.task->status == task_status::ready && !place.task->where;
+    if (!is_startable || may_run_unseen(c, place, *place.task)) {
         return true;
     }
     runner_record* const r = choose_runner(c, runners, id, place, wanted);
@@ -147,7 +154,7 @@
     const auto& tasks = first.progress->tasks;
     run_number number;
     for (const task_record& task : tasks) {
-        if (task.status != task_status::ready || task.where) {
+        if (task.status != task_status::ready || task.where || may_run_unseen(c, first, task)) {
             return;
         }
         number = std::max(number, next_number(c, task));
@@ -182,7 +189,7 @@
 {
     graph_task_id id{key.job, key.occurrence, key.step, 0};
     const task_place first = find_task(c.s, id);
-    if (!first || (first.job->recovered && c.s.scheduler.recovering)) {
+    if (!first) {
         return;
     }
     if (first.step->is_gang) {
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -134,6 +134,7 @@
                 const run& started)
 {
     place.task->where = started;
+    place.task->is_located = true;
     ++place.job->active_runs;
     charge_run(r, place, id);
 }
--- a/tests/test_central_faults.cpp
+++ b/tests/test_central_faults.cpp
@@ -64,6 +64,49 @@
     expect_no_violation(w);
 }
 
+/// Seen on hanseok-cuminmoor, mix --seed 287916126356: one runner had left for good, so a new
+/// scheduler waited for its leases with all tasks, also with a service that it had seen end.
+Test(central_faults, a_task_seen_running_restarts_while_another_runner_is_waited_for)
+{
+    central_world w{{.runners = 3}};
+    w.run_for(warm_up);
+    graph_job job = make_service(id_of(1), 6);
+    job.steps[0].max_per_runner = 4;
+    w.submit(0, job);
+    w.run_for({500});
+    cr_assert_eq(w.runner(0).running.size(), 4);
+    cr_assert_eq(w.runner(1).running.size(), 2);
+    w.runner(0).is_up = false;
+    w.set_listed(0, false);
+    w.kill(*w.scheduler());
+    w.run_for({4'500});
+    w.drain_runner(1);
+    w.run_for({1'000});
+    cr_assert(w.state_of(*w.scheduler()).scheduler.recovering);
+    cr_assert_eq(w.runner(2).running.size(), 2);
+    w.run_for({10'000});
+    cr_assert_eq(w.runner(2).running.size(), 4);
+    expect_no_violation(w);
+}
+
+Test(central_faults, what_depends_on_a_task_seen_running_starts_while_another_runner_is_waited_for)
+{
+    central_world w{{.runners = 3}};
+    w.run_for(warm_up);
+    w.submit(0, make_service(id_of(1), 6));
+    w.submit(0, central_world::make_job(id_of(2), 2, 3, {6'000}));
+    w.run_for({500});
+    cr_assert_eq(w.runner(0).running.size(), 6);
+    w.runner(0).is_up = false;
+    w.set_listed(0, false);
+    w.kill(*w.scheduler());
+    w.run_for({8'000});
+    cr_assert(w.state_of(*w.scheduler()).scheduler.recovering);
+    const graph_task_id dependent{{id_of(2)}, 0, 1, 0};
+    cr_assert(w.runner(1).running.contains(dependent) || w.runner(2).running.contains(dependent));
+    expect_no_violation(w);
+}
+
 Test(central_faults, services_leave_a_draining_runner)
 {
     central_world w{{.runners = 3}};
