A runner that was empty when it left is forgotten at once

Change: a runner that told this term all that ran there, and of which every run is over, is taken out of the used ones as soon as it is unlisted and does not answer. The new test failed before.

--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -173,11 +173,13 @@
                              {"all_answered", all_answered ? "true" : "false"}});
 }
 
-/// Nothing that was started there can run any longer.
+/// Nothing that was started there can run any longer: the runner told us in this term of all that
+/// ran there, and each of those runs is over; or all leases have expired.
 bool is_forgettable(const runner_record& r, instant renewed_at)
 {
-    return !r.listed && !r.confirmed && r.holds_failed > 0 && r.runs.empty() && !r.hold_in_flight &&
-           renewed_at > r.leases_expire_by;
+    const bool is_gone = !r.listed && !r.confirmed && r.holds_failed > 0 && !r.hold_in_flight;
+    const bool is_known_empty = r.is_fenced && r.foreign.empty();
+    return is_gone && r.runs.empty() && (is_known_empty || renewed_at > r.leases_expire_by);
 }
 
 } // namespace
--- a/tests/test_central_faults.cpp
+++ b/tests/test_central_faults.cpp
@@ -89,6 +89,29 @@
     expect_no_violation(w);
 }
 
+/// Seen in the same hunt: the runners had been emptied before they left, so nobody has to wait.
+Test(central_faults, a_successor_does_not_wait_for_a_runner_that_was_empty_when_it_left)
+{
+    central_world w{{.runners = 3}};
+    w.run_for(warm_up);
+    w.submit(0, make_service(id_of(1), 6));
+    w.run_for({500});
+    w.drain_runner(0);
+    w.run_for({1'000});
+    cr_assert(w.runner(0).running.empty());
+    w.runner(0).is_up = false;
+    w.set_listed(0, false);
+    w.run_for({4'000});
+    w.submit(0, central_world::make_job(id_of(2), 1, 1, {100}));
+    w.run_for({200});
+    w.kill(*w.scheduler());
+    w.run_for({4'500});
+    cr_assert(w.scheduler().has_value());
+    cr_assert_not(w.state_of(*w.scheduler()).scheduler.recovering);
+    cr_assert_eq(running_tasks(w, 3), 6);
+    expect_no_violation(w);
+}
+
 Test(central_faults, what_depends_on_a_task_seen_running_starts_while_another_runner_is_waited_for)
 {
     central_world w{{.runners = 3}};
