--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -185,6 +185,16 @@
     return job.active_runs == 0 && c.now - job.idle_since >= config::longest_idle;
 }
 
+void start_if_starved(const context& c, const std::vector<runner_record*>& runners,
+                      const graph_task_id& id, const job_record& job)
+{
+    const millis idle = c.now - job.idle_since;
+    if (is_starved(c, job) && place_task(c, runners, id, room_wanted::any)) {
+        c.log("starved_job_started",
+              {{"task", to_string(id)}, {"idle_ms", std::to_string(idle.count)}});
+    }
+}
+
 void place_step(const context& c, const std::vector<runner_record*>& runners, const ready_key& key)
 {
     graph_task_id id{key.job, key.occurrence, key.step, 0};
@@ -199,9 +209,7 @@
     const std::size_t count = first.progress->tasks.size();
     for (id.index = 0; id.index < count; ++id.index) {
         if (!place_task(c, runners, id)) {
-            if (is_starved(c, *first.job)) {
-                place_task(c, runners, id, room_wanted::any);
-            }
+            start_if_starved(c, runners, id, *first.job);
             return;
         }
     }
