--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -383,6 +383,8 @@
     /// A step became ready since the last placement.
     bool has_new_ready{false};
     instant placed_at;
+    /// Runners that were weighed for a task, since the lease was won.
+    std::uint64_t runners_weighed{0};
     instant relocated_at;
     /// Calls that came before the jobs were read.
     std::vector<std::pair<call_handle, job_call>> deferred;
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -233,6 +233,7 @@
 {
     runner_record* best{nullptr};
     placement_score best_score;
+    c.s.scheduler.runners_weighed += runners.size();
     for (runner_record* const r : runners) {
         if (!may_run(c, *r, id, place, wanted)) {
             continue;
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -371,7 +371,7 @@
             }
             done.rows.push_back({key.key, row.value, row.version});
         }
-        tell(vm, life, network_time, done);
+        tell(vm, life, faults.page_time, done);
     });
 }
 
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -31,6 +31,8 @@
     double lost_commits{0};
     /// Share of transactions that are carried out a second late and not answered.
     double late_commits{0};
+    /// Time that a page of a table takes to a VM that reads it.
+    millis page_time{1};
     /// Share of orders to runners that are carried out and not answered.
     double lost_orders{0};
     /// Share of orders that are carried out seconds late and not answered.
