--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -95,6 +95,8 @@
     l.predecessor_seen_at = l.seen_at;
     l.seen_at = c.now;
     l.renewed_at = l.renewal_sent_at;
+    // Until now it was the claim's timeout, which is as long as the lease.
+    l.retry_at = c.now;
     c.s.scheduler.commits.head_version = e.version;
     l.now = role::loading;
     c.log("lease_won",
