Recovery after a take-over ends when the last holder's leases have, not up to 3 s later

Callers saw: tasks of earlier jobs wait longer than needed while one runner of many does not answer. Cause: the time of the last holder's row was taken when the claim was answered; the feed may have brought our own row by then. Evidence: a_task_seen_running_restarts_while_another_runner_is_waited_for failed in the virtual world once renewals came on time (kill 0.4 s after a renewal: recovery ended at 17.4 s where 14.3 s is due); passes now.

--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -92,7 +92,6 @@
     }
     l.version = e.version;
     l.row = own_row(c.s, l.term, false);
-    l.predecessor_seen_at = l.seen_at;
     l.seen_at = c.now;
     l.renewed_at = l.renewal_sent_at;
     // Until now it was the claim's timeout, which is as long as the lease.
@@ -211,6 +210,8 @@
     const term_number known = l.row ? l.row->term : term_number{};
     l.term.value = std::max(known.value, newest.term.value) + 1;
     l.now = role::claiming;
+    // The feed may bring our own row before the claim is answered.
+    l.predecessor_seen_at = l.seen_at;
     rows_commit claim;
     claim.preconditions.push_back({head_key, head_version});
     claim.changes.push_back({head_key, encode_head({l.term, 0})});
