--- /dev/null
+++ b/tests/test_central_queue.cpp
@@ -0,0 +1,43 @@
+/// \file
+/// What a long queue of tasks without room costs the scheduler.
+#include <criterion/criterion.h>
+
+#include "central/expectations.h"
+
+using namespace cuminmoor;
+using namespace cuminmoor::central;
+using namespace cuminmoor::central::test;
+
+namespace {
+
+constexpr std::size_t runners{20};
+/// Tasks of the size that the virtual world gives them fill a runner.
+constexpr std::uint32_t tasks_of_runner{8};
+
+} // namespace
+
+/// Seen on hanseok-cuminmoor-grown, trouble-1: with a few hundred steps waiting, the scheduler's
+/// processor went into weighing every runner for each of them, and calls waited until they failed.
+Test(central_queue, steps_that_wait_for_the_same_room_are_weighed_once)
+{
+    central_world w{{.vms = 1, .runners = runners}};
+    w.run_for(warm_up);
+    constexpr std::uint64_t waiting{400};
+    for (std::uint64_t n{1}; n <= waiting; ++n) {
+        w.submit(0, central_world::make_job(id_of(n), 1, tasks_of_runner, {1'000}));
+    }
+    w.run_for({500});
+    const std::uint64_t weighed = w.state_of(0).scheduler.runners_weighed;
+    const std::uint64_t starts = w.starts();
+    constexpr millis observed{5'000};
+    w.run_for(observed);
+    // A start weighs all runners once, and a placement once more for the one size that finds no
+    // room.
+    const std::uint64_t looks = (w.state_of(0).scheduler.runners_weighed - weighed) / runners;
+    const auto placements =
+        static_cast<std::uint64_t>(observed.count / config::placement_gap.count);
+    cr_log_info("looks at all runners: %lu for %lu starts", looks, w.starts() - starts);
+    cr_assert_leq(looks, w.starts() - starts + placements);
+    cr_assert_geq(w.state_of(0).scheduler.ready.size(), waiting / 2);
+    expect_no_violation(w);
+}
