An end that changes nothing is acknowledged once the change that it repeats is stored

Callers could see a finished task run again (TWICE): a runner came back with the end of a run that had been given up, the task had meanwhile ended elsewhere, and that end was not stored yet; the old one was acknowledged at once, so that a successor would have found neither. Change: a job knows the number of its newest change, and an end of it waits for that one.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -135,6 +135,8 @@
     stored_part stored{stored_part::nothing};
     /// True while a change waits in `commit_state::waiting`.
     bool dirty{false};
+    /// Number of its newest change; see `commit_state::stored_change`.
+    std::uint64_t last_change{0};
     /// It was in the store when this term began: a task of it may run where nobody has looked yet.
     bool recovered{false};
     instant submitted_at;
--- a/src/central/commits.cpp
+++ b/src/central/commits.cpp
@@ -265,7 +265,7 @@
 void mark_changed(const context& c, job_record& job)
 {
     commit_state& commits = c.s.scheduler.commits;
-    ++commits.last_change;
+    job.last_change = ++commits.last_change;
     if (!job.dirty) {
         job.dirty = true;
         commits.waiting.emplace_back(job.spec.id, commits.last_change);
--- a/src/central/run_reports.cpp
+++ b/src/central/run_reports.cpp
@@ -179,20 +179,16 @@
     if (!e.checkpoint.empty() && place.task->status != task_status::done) {
         place.task->checkpoint = e.checkpoint;
     }
-    if (place.job->is_over() && place.job->shown != place.job->state) {
-        // Until the store knows that the job is over, a successor may need this end.
-        r.last_end_change = c.s.scheduler.commits.last_change;
-    }
-    if (!place.job->is_over()) {
-        const std::uint64_t before = c.s.scheduler.commits.last_change;
+    job_record& job = *place.job;
+    if (!job.is_over()) {
         apply_end(c, e, place, r);
-        const std::uint64_t after = c.s.scheduler.commits.last_change;
-        r.last_end_change = after > before ? after : r.last_end_change;
-        // The job may be over now, and gone from the books.
+        // The job may be over now, and its tasks gone from the books.
         if (const task_place again = find_task(c.s, e.task)) {
             make_ready_again(c, e.task, again);
         }
     }
+    // Also an end that changes nothing here proves to a successor what is not stored yet.
+    r.last_end_change = std::max(r.last_end_change, job.last_change);
 }
 
 void work_in_running(const context& c, runner_record& r, const std::vector<reported_run>& reported)
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -7,6 +7,7 @@
 #include <cstdlib>
 
 #include "absl/strings/str_cat.h"
+#include "central/codec.h"
 
 namespace cuminmoor::central::test {
 
@@ -331,6 +332,11 @@
         tell(vm, life, is_silent ? store_timeout : network_time, done);
         return;
     }
+    if (chance(faults.refused_commits)) {
+        done.outcome = store_outcome::unavailable;
+        tell(vm, life, store_time, done);
+        return;
+    }
     if (chance(faults.late_commits)) {
         at(now_ + store_timeout * 2, [this, e] {
             row_version version{0};
@@ -478,8 +484,26 @@
     }
 }
 
+bool central_world::is_stored_as_done(const graph_task_id& id) const
+{
+    const auto row = rows_.find({table::progress, id.job.value});
+    if (row == rows_.end()) {
+        return false;
+    }
+    const auto progress = decode_progress(row->second.value);
+    if (!progress.ok()) {
+        return false;
+    }
+    const bool is_over = progress->occurrences.empty();
+    return is_over || progress->occurrences[id.occurrence].steps[id.step].tasks[id.index].status ==
+                          task_status::done;
+}
+
 void central_world::check_acknowledged(const reported_end& e)
 {
+    if (e.cause == end_cause::done && !is_stored_as_done(e.task)) {
+        violate("the end of " + task_text(e.task) + " is acknowledged, but not stored");
+    }
     if (log_to) {
         log_to(absl::StrCat(now_.ms, " acknowledged ", task_text(e.task), " run ", e.run.value,
                             " cause ", static_cast<int>(e.cause)));
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -31,6 +31,8 @@
     bool store_is_down{false};
     /// Share of transactions that are carried out and not answered.
     double lost_commits{0};
+    /// Share of transactions that are refused, and certainly not carried out.
+    double refused_commits{0};
     /// Share of transactions that are carried out a second late and not answered.
     double late_commits{0};
     /// Time that a page of a table takes to a VM that reads it.
@@ -168,6 +170,7 @@
     void check_start(const runner_order& order, std::size_t runner);
     void check_capacity(std::size_t runner);
     void check_acknowledged(const reported_end& e);
+    [[nodiscard]] bool is_stored_as_done(const graph_task_id& id) const;
     void violate(const std::string& text);
 
     world_options options_;
