A job that changed again while its refused transaction was taken back keeps its place in the line

Callers could see a finished task run again: its end was acknowledged although the store did not have it.

--- a/src/central/commits.cpp
+++ b/src/central/commits.cpp
@@ -219,10 +219,16 @@
     const open_commit commit = *std::exchange(s.commits.open, std::nullopt);
     for (auto it = commit.jobs.rbegin(); it != commit.jobs.rend(); ++it) {
         const auto found = s.jobs.find(it->first);
-        if (found != s.jobs.end() && !found->second.dirty) {
-            found->second.dirty = true;
-            s.commits.waiting.emplace_front(it->first, s.commits.stored_change + 1);
+        if (found == s.jobs.end()) {
+            continue;
+        }
+        if (found->second.dirty) {
+            // It changed again meanwhile; its first change that is not stored is the earlier one.
+            std::erase_if(s.commits.waiting,
+                          [&](const auto& waiting) { return waiting.first == it->first; });
         }
+        found->second.dirty = true;
+        s.commits.waiting.emplace_front(it->first, s.commits.stored_change + 1);
     }
     const auto put_back = [](auto& line, const auto& items) {
         line.insert(line.end(), items.begin(), items.end());
--- /dev/null
+++ b/tests/test_central_commits.cpp
@@ -0,0 +1,67 @@
+/// \file
+/// What is acknowledged to runners while transactions fail.
+#include <criterion/criterion.h>
+
+#include "central/expectations.h"
+
+using namespace cuminmoor;
+using namespace cuminmoor::central;
+using namespace cuminmoor::central::test;
+
+namespace {
+
+/// More than fit into one transaction.
+constexpr std::uint64_t jobs{3 * config::max_jobs_per_commit};
+
+constexpr std::size_t runners{40};
+constexpr const char* last_runner_only = "last";
+
+/// Jobs that all begin at one moment, so that their ends come together.
+graph_job make_timed_job(std::uint64_t n)
+{
+    graph_job job = central_world::make_job(id_of(n), 1, 2, {500});
+    constexpr millis begin{1'700'000'000'000 + 4'000};
+    job.repeats.count = 1;
+    job.repeats.first_at = begin;
+    return job;
+}
+
+/// One task on the first runner and one on the last, which reports after all others.
+graph_job make_spread_job(std::uint64_t n)
+{
+    graph_job job = make_timed_job(n);
+    job.steps[0].tasks = 1;
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].required_label = last_runner_only;
+    return job;
+}
+
+void expect_ends_are_stored_before_they_are_acknowledged(std::uint64_t seed)
+{
+    central_world w{{.seed = seed, .runners = runners}};
+    w.runner(runners - 1).entry.labels.emplace_back(last_runner_only);
+    w.run_for(warm_up);
+    constexpr std::uint64_t spread_jobs{4};
+    for (std::uint64_t n{1}; n <= spread_jobs; ++n) {
+        w.submit(0, make_spread_job(n));
+    }
+    for (std::uint64_t n{spread_jobs + 1}; n <= jobs; ++n) {
+        w.submit(n % 3, make_timed_job(n));
+    }
+    w.run_for({2'000});
+    w.faults.refused_commits = 0.5;
+    w.run_for({4'000});
+    cr_assert_eq(w.starts(), 2 * jobs);
+    expect_no_violation(w);
+}
+
+} // namespace
+
+/// Found by reading, after tasks of kdl-accra-grown's small twin ran again: a job that changed
+/// again while its refused transaction was taken back kept its place at the end of the line.
+Test(central_commits, ends_of_a_refused_transaction_are_stored_before_they_are_acknowledged)
+{
+    for (std::uint64_t seed{1}; seed <= 40; ++seed) {
+        expect_ends_are_stored_before_they_are_acknowledged(seed);
+    }
+}
