A submission whose connection breaks is in doubt; the client does not send it again by itself

Cause: calls to peers were marked resendable. When a kept connection broke after the first sending, the HTTP client sent the submission a second time; `not_scheduler` or a refusal as answer to the second hid from the reducer that the first may have been taken in. Change: submissions are sent once; the reducer is told "sent, no answer" and hands the job in again, knowing that it is in doubt. Queries, cancels and counts are sent again as before.

--- a/daemon/central_peers.cpp
+++ b/daemon/central_peers.cpp
@@ -68,8 +68,9 @@
     call.body = std::make_shared<const std::string>(central::encode_call(e.call));
     call.deadline = parts_.clock.now() + e.timeout;
     call.max_answer_bytes = max_answer_bytes;
-    // A job is known by its id, so that handing it in twice does no harm.
-    call.resendable = true;
+    // A submission that may have been taken in is in doubt, whatever the answer to a second one
+    // says; so the reducer hands it in again, not the client.
+    call.resendable = e.call.kind != central::call_kind::submit;
     parts_.http.start(std::move(call), [this, handle = e.handle](const http_result& result) {
         parts_.sink.post(read_answer(handle, result));
     });
--- /dev/null
+++ b/tests/test_daemon_central_peers.cpp
@@ -0,0 +1,112 @@
+/// \file
+/// Calls between entry VMs: what the reducer is told when a connection breaks.
+#include <optional>
+
+#include <asio/io_context.hpp>
+#include <criterion/criterion.h>
+
+#include "asio_http_client.h"
+#include "central_peers.h"
+#include "cuminmoor/central/peer_codec.h"
+#include "raw_http_server.h"
+#include "system_clock.h"
+
+namespace cm = cuminmoor;
+namespace io = cuminmoor::io;
+namespace central = cuminmoor::central;
+using test::raw_http_server;
+using test::whole;
+
+namespace {
+
+constexpr cm::millis long_time{5'000};
+constexpr long connections{4};
+
+test::reaction answer(central::call_result result)
+{
+    return whole(central::encode_answer({.result = result}));
+}
+
+/// Keeps the last end of a peer's call.
+class last_end final : public io::central_sink {
+public:
+    void post(central::event e) override
+    {
+        if (const auto* ended = std::get_if<central::peer_call_ended>(&e)) {
+            end = *ended;
+        }
+    }
+    central::call_handle next_handle() override { return {1}; }
+    [[nodiscard]] bool is_ready() const override { return true; }
+
+    std::optional<central::peer_call_ended> end;
+};
+
+struct fixture {
+    asio::io_context context{1};
+    io::system_clock clock;
+    last_end sink;
+    io::settings settings;
+    io::line_log log{clock, "vm1", "fd1"};
+    std::unique_ptr<io::http_client> http{io::make_asio_http_client(context, clock, connections)};
+    io::central_peers peers{{context, clock, *http, sink, log, settings}, [] { return ""; }};
+
+    central::peer_call_ended run(const std::string& address, central::call_kind kind)
+    {
+        central::peer_call call;
+        call.handle = {1};
+        call.address = address;
+        call.call.kind = kind;
+        call.call.job.value = "0000000000000001";
+        if (kind == central::call_kind::submit) {
+            call.call.submitted = central::graph_job{};
+        }
+        call.timeout = long_time;
+        sink.end.reset();
+        peers.execute(call);
+        while (!sink.end) {
+            context.run_one();
+        }
+        return *sink.end;
+    }
+};
+
+} // namespace
+
+/// The first sending may have been taken in, whatever the answer to a second one says.
+Test(central_peers, a_submission_whose_connection_breaks_is_not_sent_again_behind_the_reducers_back)
+{
+    raw_http_server server{{answer(central::call_result::pending),
+                            {"", true},
+                            answer(central::call_result::not_scheduler)}};
+    fixture f;
+    cr_assert(f.run(server.address(), central::call_kind::count_pending).answer.has_value());
+    const auto end = f.run(server.address(), central::call_kind::submit);
+    cr_assert(end.sent);
+    cr_assert_not(end.answer.has_value());
+    cr_assert_eq(server.requests(), 2);
+}
+
+Test(central_peers, a_query_survives_a_kept_connection_that_breaks)
+{
+    raw_http_server server{{answer(central::call_result::pending),
+                            {"", true},
+                            answer(central::call_result::unknown_job)}};
+    fixture f;
+    cr_assert(f.run(server.address(), central::call_kind::count_pending).answer.has_value());
+    const auto end = f.run(server.address(), central::call_kind::query);
+    cr_assert(end.answer.has_value());
+    cr_assert(end.answer->result == central::call_result::unknown_job);
+    cr_assert_eq(server.requests(), 3);
+}
+
+Test(central_peers, a_call_to_nobody_is_told_as_not_sent)
+{
+    std::string address;
+    {
+        const raw_http_server gone{{}};
+        address = gone.address();
+    }
+    fixture f;
+    cr_assert_not(f.run(address, central::call_kind::submit).sent);
+}
