A VM that schedules now does not refuse a job that a peer may have taken in

What callers saw: perhaps 503 for a job that ran (REFUSED). Cause: a refusal was turned into an unknown outcome only when it came from a peer. An entry VM whose peer was silent, or that had stepped down with the job, and that holds the lease itself when it tries again, told its own refusal (store out of reach, commits failing, lease being released) to the caller as final. Change: what may be told is checked where every answer leaves, `answer`. Test: the new test of test_central_entry failed before (told `unavailable`); 5 of 5 pass after.

--- a/src/central/entry.cpp
+++ b/src/central/entry.cpp
@@ -244,7 +244,7 @@
     const bool is_settled =
         result != call_result::not_scheduler && result != call_result::outcome_unknown;
     if (is_settled) {
-        answer(c, e.handle, without_false_promise(call, *e.answer));
+        answer(c, e.handle, *e.answer);
         return;
     }
     call.maybe_taken = call.maybe_taken || (e.sent && result == call_result::outcome_unknown);
@@ -282,8 +282,9 @@
     if (found == c.s.calls.end()) {
         return;
     }
-    log_answer(c, found->second, a);
-    c.add(answer_call{handle, a});
+    const call_answer told = without_false_promise(found->second, a);
+    log_answer(c, found->second, told);
+    c.add(answer_call{handle, told});
     c.s.calls.erase(found);
 }
 
--- a/tests/test_central_entry.cpp
+++ b/tests/test_central_entry.cpp
@@ -45,6 +45,15 @@
         give(call);
     }
 
+    /// This VM holds the lease from now on, and has read the jobs.
+    void become_scheduler()
+    {
+        state_.lease.row->address = state_.self.address;
+        state_.lease.now = role::scheduler;
+        state_.lease.renewed_at = now_;
+        state_.lease.renewal_sent_at = now_;
+    }
+
     /// The peer answers so, or not at all.
     void end_peer_call(std::optional<call_result> result)
     {
@@ -125,3 +134,14 @@
     vm.end_peer_call(call_result::accepted);
     cr_assert(vm.told() == call_result::accepted);
 }
+
+Test(central_entry, a_vm_that_schedules_now_does_not_refuse_a_job_that_a_peer_may_have_taken_in)
+{
+    entry_vm vm;
+    vm.submit();
+    vm.end_peer_call(std::nullopt);
+    vm.become_scheduler();
+    // Its store is out of reach, so that it takes nothing in.
+    vm.wait({200});
+    cr_assert(vm.told() == call_result::outcome_unknown);
+}
