A shutdown answers every open call before it is complete, and what comes later at once

Cause: nothing answered calls that were open when the drain time ended; those that came while the last bytes were flushed waited for a timer that is not armed any more. The process also ended within the very step in which the last answers were given, with calls still in its sockets. Change: when the drain time ends, each open call is answered: 503 if it has certainly reached nobody, else unknown; later calls of callers are refused, and those of peers are told `not_scheduler`, at once. The process ends after a pause of 10 ms in which no call came and all answers have left, after 0.5 s at the latest, as before. The virtual world keeps a VM for 300 ms without its timer after the shutdown is complete, and takes a call left without an answer for a violation. Test: four new ones (three in test_central_faults, one in test_central_entry) failed before and pass after; all test_central_* (50 tests) and test_daemon_* (54 tests) pass.

--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -134,7 +134,7 @@
     void execute(const shutdown_complete& /*e*/)
     {
         stop_by_ = clock_.now() + last_flush;
-        await_flush();
+        pause_for_flush();
     }
     template <typename Effect>
     void execute(const Effect& e)
@@ -143,13 +143,22 @@
         deployment_->execute(e);
     }
 
+    /// Ends once all answers have left and no call came during a pause: the reducer answers those
+    /// that come meanwhile at once.
     void await_flush()
     {
-        if (deployment_->is_flushed() || clock_.now() >= stop_by_) {
+        const bool is_quiet = last_handle_ == handle_before_pause_;
+        if ((is_quiet && deployment_->is_flushed()) || clock_.now() >= stop_by_) {
             context_.stop();
             return;
         }
+        pause_for_flush();
+    }
+
+    void pause_for_flush()
+    {
         constexpr std::chrono::milliseconds pause{10};
+        handle_before_pause_ = last_handle_;
         timer_.expires_after(pause);
         timer_.async_wait([this](const asio::error_code& /*error*/) { await_flush(); });
     }
@@ -208,6 +217,8 @@
     instant armed_for_;
     instant stop_by_;
     std::uint64_t last_handle_{0};
+    /// The last call that had come when the last pause for the flush began.
+    std::uint64_t handle_before_pause_{0};
 };
 
 } // namespace
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -433,6 +433,7 @@
     std::map<call_handle, open_call> calls;
     bool stopping{false};
     instant stop_by;
+    /// Nothing is open any more, and what comes is answered at once.
     bool stop_reported{false};
     /// When the reducer wants to be called again at the latest.
     instant wake_at{never};
--- a/src/central/entry.cpp
+++ b/src/central/entry.cpp
@@ -237,6 +237,10 @@
         call.call.submitted->queue = call.call.queue;
     }
     open(c, e.handle, std::move(call));
+    if (c.s.stop_reported) {
+        answer(c, e.handle, refused(call_result::unavailable));
+        return;
+    }
     if (found != call_result::accepted) {
         answer(c, e.handle, refused(found));
         return;
@@ -252,6 +256,10 @@
     call.from_peer = true;
     call.answer_by = c.now + e.patience;
     open(c, e.handle, std::move(call));
+    if (c.s.stop_reported) {
+        answer(c, e.handle, {.result = call_result::not_scheduler});
+        return;
+    }
     route(c, e.handle);
 }
 
@@ -296,6 +304,14 @@
     }
 }
 
+void end_all_calls(const context& c)
+{
+    while (!c.s.calls.empty()) {
+        const auto& [handle, call] = *c.s.calls.begin();
+        answer(c, handle, unanswered(call));
+    }
+}
+
 void answer(const context& c, call_handle handle, const call_answer& a)
 {
     const auto found = c.s.calls.find(handle);
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -39,6 +39,8 @@
 void on_peer_call(const context& c, const peer_call_received& e);
 void on_peer_call_ended(const context& c, const peer_call_ended& e);
 void check_calls(const context& c);
+/// Answers all open calls, as far as something is certain about them.
+void end_all_calls(const context& c);
 void answer(const context& c, call_handle handle, const call_answer& a);
 
 // ---- lease.cpp: who schedules
--- a/src/central/reduce.cpp
+++ b/src/central/reduce.cpp
@@ -57,6 +57,7 @@
     }
     if (c.now >= c.s.stop_by) {
         c.s.stop_reported = true;
+        end_all_calls(c);
         c.add(shutdown_complete{});
         return;
     }
--- a/tests/test_central_entry.cpp
+++ b/tests/test_central_entry.cpp
@@ -64,6 +64,20 @@
         give(ended);
     }
 
+    /// A peer hands the job in here.
+    void take_from_peer()
+    {
+        peer_call_received received{handle, {}, {3'000}};
+        received.call.kind = call_kind::submit;
+        received.call.queue.value = "q";
+        received.call.job.value = id_of(1);
+        received.call.submitted = central_world::make_job(id_of(1), 1, 1, {100});
+        give(received);
+    }
+
+    void stop() { give(stop_requested{}); }
+    void regain_store() { give(store_reachable{true}); }
+
     void wait(millis time)
     {
         now_ = now_ + time;
@@ -145,3 +159,14 @@
     vm.wait({200});
     cr_assert(vm.told() == call_result::outcome_unknown);
 }
+
+Test(central_entry, a_holder_whose_shutdown_is_complete_takes_no_call_of_a_peer_in)
+{
+    entry_vm vm;
+    vm.become_scheduler();
+    vm.regain_store();
+    vm.stop();
+    vm.wait(config::drain_time);
+    vm.take_from_peer();
+    cr_assert(vm.told() == call_result::not_scheduler);
+}
--- a/tests/test_central_faults.cpp
+++ b/tests/test_central_faults.cpp
@@ -413,8 +413,58 @@
     return *w.scheduler() == 0 ? 1 : 0;
 }
 
+/// Time from SIGTERM on for which callers are served, but for a last moment.
+constexpr millis almost_drained{config::drain_time.count - 300};
+
 } // namespace
 
+/// Seen on hanseok-cuminmoor-grown, trouble-2: requests around SIGTERM got no answer.
+Test(central_faults, a_shutdown_refuses_what_certainly_nobody_took_in)
+{
+    central_world w{{}};
+    w.run_for(warm_up);
+    const std::size_t stopped = other_than_scheduler(w);
+    w.faults.store_is_down = true;
+    w.kill(*w.scheduler());
+    w.stop_gracefully(stopped);
+    w.run_for(almost_drained);
+    w.submit(stopped, central_world::make_job(id_of(1), 1, 1, {100}));
+    w.run_for({400});
+    cr_assert_eq(w.caller(id_of(1)).refusals, 1);
+    expect_no_violation(w);
+}
+
+Test(central_faults, a_shutdown_leaves_in_doubt_what_the_scheduler_may_have_taken_in)
+{
+    central_world w{{}};
+    w.run_for(warm_up);
+    const std::size_t stopped = other_than_scheduler(w);
+    w.faults.lost_peer_answers = 1;
+    w.stop_gracefully(stopped);
+    w.run_for(almost_drained);
+    w.submit(stopped, central_world::make_job(id_of(1), 1, 1, {100}));
+    w.run_for({400});
+    cr_assert_eq(w.caller(id_of(1)).refusals, 0);
+    cr_assert(w.caller(id_of(1)).may_be_taken);
+    cr_assert_eq(w.starts(), 1);
+    expect_no_violation(w);
+}
+
+Test(central_faults, a_call_that_comes_while_the_last_bytes_are_flushed_is_refused_at_once)
+{
+    central_world w{{}};
+    w.run_for(warm_up);
+    const std::size_t stopped = other_than_scheduler(w);
+    w.stop_gracefully(stopped);
+    w.run_for(config::drain_time + millis{50});
+    cr_assert(w.is_flushing(stopped));
+    w.submit(stopped, central_world::make_job(id_of(1), 1, 1, {100}));
+    cr_assert_eq(w.caller(id_of(1)).refusals, 1);
+    w.run_for({2'000});
+    cr_assert_eq(w.starts(), 0);
+    expect_no_violation(w);
+}
+
 /// Seen in a played incident: VMs behind a cut refused 2.9 s after they were asked.
 Test(central_faults, a_call_that_reaches_nobody_is_refused_well_before_its_caller_gives_up)
 {
