--- a/tests/test_central_faults.cpp
+++ b/tests/test_central_faults.cpp
@@ -498,3 +498,133 @@
     cr_assert(w.caller(id_of(1)).was_accepted);
     expect_no_violation(w);
 }
+
+namespace {
+
+/// Jobs are handed in again and again, at any VM, while calls between VMs fail and VMs stop.
+class intake_history {
+public:
+    explicit intake_history(std::uint64_t seed)
+        : seed_{seed}, random_{seed}, w_{{.seed = seed, .vms = vm_count, .runners = runner_count}}
+    {
+    }
+
+    void play()
+    {
+        w_.run_for(warm_up);
+        constexpr int rounds{40};
+        for (int round{0}; round < rounds; ++round) {
+            hand_in();
+            change_faults();
+            hand_in();
+            w_.run_for({static_cast<std::int64_t>(20 + below(1'200))});
+        }
+        end_faults();
+        restart_all();
+        w_.run_for({20'000});
+        check();
+    }
+
+private:
+    std::uint64_t below(std::uint64_t bound) { return random_() % bound; }
+
+    void hand_in()
+    {
+        const bool is_repeat = jobs_ > 0 && below(3) == 0;
+        const std::uint64_t recent = std::min<std::uint64_t>(jobs_, 4);
+        const std::uint64_t id = is_repeat ? jobs_ - 1 - below(recent) : jobs_++;
+        w_.submit(below(vm_count), central_world::make_job(id_of(id), 1, 1, {200}));
+    }
+
+    void change_faults()
+    {
+        const std::size_t vm = below(vm_count);
+        switch (below(14)) {
+        case 0:
+            w_.kill(vm);
+            break;
+        case 1:
+        case 2:
+            if (w_.is_up(vm)) {
+                w_.stop_gracefully(vm);
+            }
+            break;
+        case 3:
+            w_.faults.store_is_down = true;
+            break;
+        case 4:
+            w_.faults.lost_commits = 0.4;
+            break;
+        case 5:
+            w_.faults.late_commits = 0.3;
+            break;
+        case 6:
+            w_.faults.vms_without_store.insert(vm);
+            break;
+        case 7:
+            w_.faults.lost_peer_answers = 0.4;
+            break;
+        case 8:
+            w_.faults.broken_peer_calls = 0.4;
+            break;
+        case 9:
+            w_.faults.late_peer_calls = 0.3;
+            break;
+        case 10:
+            w_.faults.cut_peers.insert({vm, below(vm_count)});
+            break;
+        default:
+            end_faults();
+            restart(vm);
+            break;
+        }
+    }
+
+    void end_faults() { w_.faults = {}; }
+
+    void restart(std::size_t vm)
+    {
+        w_.kill(vm);
+        w_.restart(vm);
+    }
+
+    void restart_all()
+    {
+        for (std::size_t vm{0}; vm < vm_count; ++vm) {
+            restart(vm);
+        }
+    }
+
+    void check()
+    {
+        const auto seed = static_cast<unsigned long>(seed_);
+        for (const std::string& v : w_.violations()) {
+            cr_log_error("seed %lu: %s", seed, v.c_str());
+        }
+        cr_assert(w_.violations().empty(), "seed %lu", seed);
+        for (std::uint64_t id{0}; id < jobs_; ++id) {
+            const caller_view& view = w_.caller(id_of(id));
+            cr_assert(!view.was_accepted || view.was_started, "seed %lu: job %lu never ran", seed,
+                      static_cast<unsigned long>(id));
+        }
+    }
+
+    std::uint64_t seed_;
+    std::mt19937_64 random_;
+    central_world w_;
+    std::uint64_t jobs_{0};
+};
+
+} // namespace
+
+Test(central_faults, no_refused_job_runs_whatever_becomes_of_the_calls_between_vms)
+{
+    const char* const only = std::getenv("CUMINMOOR_TEST_SEED"); // NOLINT(concurrency-mt-unsafe)
+    if (only != nullptr) {
+        intake_history{std::stoull(only)}.play();
+        return;
+    }
+    for (std::uint64_t seed{first_seed}; seed <= last_seed; ++seed) {
+        intake_history{seed}.play();
+    }
+}
