A new holder reads the jobs in pages that its link can carry, one at a time

Cause: a page held up to 500 rows or 1 MB and was given up after 0.8 s, with all that had come; four tables were read side by side, so that each delayed the others. Change: pages have a limit: 12 rows at first, more while more rows come in the same time, a quarter when none comes in time. One page at a time, one table after the other, 1.5 s for a page. The reducer decides; the platform only formats the limit. The world's store has a page limit and links of a bandwidth for it.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -32,6 +32,26 @@
 inline constexpr millis heard_recently{1'500};
 inline constexpr millis capacity_write_retry{1'000};
 
+// Reads of the store.
+/// For a single row, and for what tells whether the store can be reached.
+inline constexpr millis read_timeout{800};
+/// For a page of a table of any length.
+inline constexpr millis page_timeout{1'500};
+/// Pages grow up to what is expected to come in this time.
+inline constexpr millis page_time{page_timeout.count / 2};
+/// A page that came this soon may always be followed by a larger one.
+inline constexpr millis quick_page{100};
+/// At 2 Mbit/s, rows with the longest text of a job come in half of `page_time`.
+inline constexpr std::uint32_t first_page_rows{12};
+inline constexpr std::uint32_t least_page_rows{4};
+/// Most that the store gives.
+inline constexpr std::uint32_t max_page_rows{500};
+inline constexpr double max_page_growth{8};
+/// Larger pages are worth it while the rows in a millisecond grow by this factor.
+inline constexpr double least_page_gain{1.5};
+/// Part of its size that a page keeps when it did not come in time: one in so many.
+inline constexpr std::uint32_t page_cut{4};
+
 // Commits.
 /// Time from one commit to the next, unless a caller waits.
 inline constexpr millis commit_gap{30};
--- a/include/cuminmoor/central/event.h
+++ b/include/cuminmoor/central/event.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "cuminmoor/central/config.h"
 #include "cuminmoor/central/graph_job.h"
 #include "cuminmoor/central/manifest.h"
 #include "cuminmoor/effect.h"
@@ -178,6 +179,9 @@
 struct rows_read {
     table where{table::control};
     std::string from;
+    /// Most rows to give; 0: as many as the store gives.
+    std::uint32_t limit{0};
+    millis timeout{config::read_timeout};
 };
 
 struct table_row {
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -21,6 +21,7 @@
 #include "cuminmoor/central/event.h"
 #include "cuminmoor/central/graph_job.h"
 #include "cuminmoor/central/manifest.h"
+#include "cuminmoor/central/page_size.h"
 
 namespace cuminmoor::central {
 
@@ -362,11 +363,14 @@
     std::string next_from;
     bool is_whole{false};
     bool in_flight{false};
+    /// When the page that is in flight was asked for.
+    instant asked_at;
     instant retry_at;
 };
 
-/// What a new holder of the lease reads.
+/// What a new holder of the lease reads: one table after the other, one page at a time.
 struct loading_state {
+    page_size page;
     table_reading jobs;
     table_reading progress;
     table_reading used_runners;
--- a/src/central/loading.cpp
+++ b/src/central/loading.cpp
@@ -3,6 +3,7 @@
 #include "parts.h"
 
 #include <algorithm>
+#include <array>
 
 #include "absl/strings/str_cat.h"
 #include "codec.h"
@@ -11,23 +12,6 @@
 
 namespace {
 
-void read_next_page(const context& c, table where, table_reading& reading)
-{
-    if (!reading.is_whole && !reading.in_flight && c.now >= reading.retry_at) {
-        reading.in_flight = true;
-        c.add(rows_read{where, reading.next_from});
-    }
-}
-
-void read_next_pages(const context& c)
-{
-    loading_state& l = c.s.scheduler.loading;
-    read_next_page(c, table::jobs, l.jobs);
-    read_next_page(c, table::progress, l.progress);
-    read_next_page(c, table::used_runners, l.used_runners);
-    read_next_page(c, table::disturbance, l.disturbance);
-}
-
 table_reading* reading_of(loading_state& l, table where)
 {
     switch (where) {
@@ -44,6 +28,29 @@
     }
 }
 
+/// The tables in the order in which they are read.
+constexpr std::array loaded_tables{table::jobs, table::progress, table::used_runners,
+                                   table::disturbance};
+
+/// One page at a time: pages that are under way at once would delay each other.
+void read_next_page(const context& c)
+{
+    loading_state& l = c.s.scheduler.loading;
+    const auto* const next =
+        std::find_if(loaded_tables.begin(), loaded_tables.end(),
+                     [&l](table where) { return !reading_of(l, where)->is_whole; });
+    if (next == loaded_tables.end()) {
+        return;
+    }
+    table_reading& reading = *reading_of(l, *next);
+    if (reading.in_flight || c.now < reading.retry_at) {
+        return;
+    }
+    reading.in_flight = true;
+    reading.asked_at = c.now;
+    c.add(rows_read{*next, reading.next_from, l.page.rows(), config::page_timeout});
+}
+
 /// Puts a job's stored progress into its record.
 void apply_progress(job_record& job, stored_progress progress)
 {
@@ -243,7 +250,7 @@
 void begin_loading(const context& c)
 {
     c.add(follow_register{true});
-    read_next_pages(c);
+    read_next_page(c);
 }
 
 void on_rows_read(const context& c, const rows_read_done& e)
@@ -261,7 +268,9 @@
         return;
     }
     reading->in_flight = false;
+    page_size& page = c.s.scheduler.loading.page;
     if (!e.ok) {
+        page.note_failure();
         reading->retry_at = c.now + config::lease_retry;
         c.wake(reading->retry_at);
         return;
@@ -271,6 +280,7 @@
     }
     reading->is_whole = !e.has_more || e.rows.empty();
     if (!reading->is_whole) {
+        page.note_page(e.rows.size(), c.now - reading->asked_at);
         // Above the last key that was read, and below all others: keys have the same length.
         reading->next_from = e.rows.back().key + '0';
     }
@@ -289,7 +299,7 @@
         begin_scheduling(c);
     }
     else {
-        read_next_pages(c);
+        read_next_page(c);
     }
 }
 
--- /dev/null
+++ b/src/central/page_size.cpp
@@ -0,0 +1,29 @@
+/// \file
+/// Growth and shrinking of pages.
+#include "cuminmoor/central/page_size.h"
+
+#include <algorithm>
+
+namespace cuminmoor::central {
+
+void page_size::note_page(std::size_t rows, millis took)
+{
+    const double time = static_cast<double>(std::max<std::int64_t>(took.count, 1));
+    const double rate = static_cast<double>(rows) / time;
+    const bool gains = rate >= rows_per_ms_ * config::least_page_gain;
+    rows_per_ms_ = rate;
+    if (!gains && took > config::quick_page) {
+        return;
+    }
+    const double growth = static_cast<double>(config::page_time.count) / time;
+    const double wanted = rows_ * std::clamp(growth, 1.0, config::max_page_growth);
+    rows_ =
+        static_cast<std::uint32_t>(std::min(wanted, static_cast<double>(config::max_page_rows)));
+}
+
+void page_size::note_failure()
+{
+    rows_ = std::max(rows_ / config::page_cut, config::least_page_rows);
+}
+
+} // namespace cuminmoor::central
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -21,6 +21,16 @@
 constexpr const char* service_name = "renders";
 constexpr const char* host_name = "jobs.example";
 
+/// What a page holds at most, and what a row adds to its value, on the wire.
+constexpr std::size_t max_page_bytes{1'000'000};
+constexpr std::size_t row_frame_bytes{120};
+
+/// \return the size of a row with this value, in base64.
+std::size_t wire_bytes(const std::string& value)
+{
+    return (value.size() + 2) / 3 * 4 + row_frame_bytes;
+}
+
 std::string task_text(const graph_task_id& id)
 {
     return absl::StrCat(id.job.value, ".", id.occurrence, ".", id.step, ".", id.index);
@@ -358,24 +368,56 @@
         tell(vm, life, store_timeout, failed);
         return;
     }
-    at(now_ + store_time, [this, vm, life, e] {
-        rows_read_done done;
-        done.where = e.where;
-        done.ok = true;
-        done.as_of = last_version_;
-        constexpr std::size_t page{5};
-        for (const auto& [key, row] : rows_) {
-            if (key.where != e.where || key.key < e.from) {
-                continue;
-            }
-            if (done.rows.size() == page) {
-                done.has_more = true;
-                break;
-            }
-            done.rows.push_back({key.key, row.value, row.version});
+    at(now_ + store_time, [this, vm, life, e, sent_at = now_] { deliver(vm, life, e, sent_at); });
+}
+
+rows_read_done central_world::page_of(const rows_read& e) const
+{
+    rows_read_done done;
+    done.where = e.where;
+    done.ok = true;
+    done.as_of = last_version_;
+    const std::size_t most =
+        e.limit == 0 ? faults.page_rows : std::min<std::size_t>(e.limit, faults.page_rows);
+    std::size_t bytes{0};
+    for (const auto& [key, row] : rows_) {
+        if (key.where != e.where || key.key < e.from) {
+            continue;
         }
-        tell(vm, life, faults.page_time, done);
-    });
+        bytes += wire_bytes(row.value);
+        if (done.rows.size() == most || bytes > max_page_bytes) {
+            done.has_more = true;
+            break;
+        }
+        done.rows.push_back({key.key, row.value, row.version});
+    }
+    return done;
+}
+
+void central_world::deliver(std::size_t vm, std::uint64_t life, const rows_read& e, instant sent_at)
+{
+    rows_read_done done = page_of(e);
+    entry_vm& v = vms_[vm];
+    v.rows_read += done.rows.size();
+    if (faults.link_bytes_per_ms == 0) {
+        tell(vm, life, faults.page_time, std::move(done));
+        return;
+    }
+    std::size_t bytes{0};
+    for (const table_row& r : done.rows) {
+        bytes += wire_bytes(r.value);
+    }
+    const millis passing{static_cast<std::int64_t>(bytes / faults.link_bytes_per_ms) + 1};
+    v.link_free_at = std::max(v.link_free_at, now_) + passing;
+    const instant timeout_at = sent_at + e.timeout;
+    if (v.link_free_at <= timeout_at) {
+        tell(vm, life, v.link_free_at - now_, std::move(done));
+        return;
+    }
+    ++v.pages_lost;
+    rows_read_done lost;
+    lost.where = e.where;
+    tell(vm, life, timeout_at - now_, std::move(lost));
 }
 
 void central_world::tell_control_rows(std::size_t vm, bool whole)
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -35,6 +35,11 @@
     double late_commits{0};
     /// Time that a page of a table takes to a VM that reads it.
     millis page_time{1};
+    /// Most rows in a page.
+    std::size_t page_rows{5};
+    /// What the link of a VM moves of pages in a millisecond; 0: no limit. Pages that are under way
+    /// at once pass one after the other, and one that comes too late is lost.
+    std::size_t link_bytes_per_ms{0};
     /// Share of orders to runners that are carried out and not answered.
     double lost_orders{0};
     /// Share of orders that are carried out seconds late and not answered.
@@ -95,6 +100,9 @@
     [[nodiscard]] const std::vector<std::string>& violations() const { return violations_; }
     [[nodiscard]] std::uint64_t starts() const { return starts_; }
     [[nodiscard]] std::size_t commits() const { return commits_; }
+    /// Rows that a VM has read, and pages that came too late for it.
+    [[nodiscard]] std::size_t rows_read_by(std::size_t vm) const { return vms_[vm].rows_read; }
+    [[nodiscard]] std::size_t pages_lost(std::size_t vm) const { return vms_[vm].pages_lost; }
     [[nodiscard]] fake_runner& runner(std::size_t i) { return runners_[i]; }
     /// Tasks that always fail, by job.
     std::set<std::string> poison;
@@ -114,6 +122,11 @@
         std::uint64_t life{0};
         instant next_tick;
         bool saw_store{false};
+        /// The link is in use until then.
+        instant link_free_at;
+        /// Rows that came, and pages that came too late, in all lives.
+        std::size_t rows_read{0};
+        std::size_t pages_lost{0};
     };
     struct stored_row {
         std::string value;
@@ -150,6 +163,8 @@
     void execute(std::size_t vm, const shutdown_complete& e);
 
     bool apply(const rows_commit& e, row_version& version);
+    [[nodiscard]] rows_read_done page_of(const rows_read& e) const;
+    void deliver(std::size_t vm, std::uint64_t life, const rows_read& e, instant sent_at);
     void tell_control_rows(std::size_t vm, bool whole);
     void tell_register(std::size_t vm);
     void tell_operators(std::size_t vm);
--- /dev/null
+++ b/tests/test_central_loading.cpp
@@ -0,0 +1,140 @@
+/// \file
+/// Reading the jobs after a take-over, over links of any bandwidth.
+#include <cstdint>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include "central/expectations.h"
+#include "cuminmoor/central/page_size.h"
+
+using namespace cuminmoor;
+using namespace cuminmoor::central;
+using namespace cuminmoor::central::test;
+
+namespace {
+
+constexpr std::size_t vms{3};
+constexpr std::size_t store_page_rows{500};
+/// 2 Mbit/s.
+constexpr std::size_t thin_link{250};
+/// 200 Mbit/s.
+constexpr std::size_t wide_link{25'000};
+constexpr std::size_t longest_text{4'000};
+
+/// Hands in jobs that run for long.
+void submit_jobs(central_world& w, std::uint64_t jobs, std::size_t text_bytes)
+{
+    w.faults.page_rows = store_page_rows;
+    w.run_for(warm_up);
+    for (std::uint64_t n{1}; n <= jobs; ++n) {
+        graph_job job = central_world::make_job(id_of(n), 1, 1, {100'000});
+        job.payload.resize(text_bytes, 'x');
+        w.submit(n % vms, job);
+    }
+    w.run_for({3'000});
+}
+
+struct take_over {
+    std::size_t holder{0};
+    millis loading;
+    std::size_t rows{0};
+    std::size_t pages_lost{0};
+};
+
+/// Kills the scheduler and waits until another VM schedules.
+take_over observe_take_over(central_world& w)
+{
+    const std::size_t old = *w.scheduler();
+    std::vector<std::size_t> rows(vms);
+    for (std::size_t vm{0}; vm < vms; ++vm) {
+        rows[vm] = w.rows_read_by(vm);
+    }
+    w.kill(old);
+    constexpr millis step{1};
+    constexpr millis longest{120'000};
+    const instant give_up = w.now() + longest;
+    while (!w.scheduler() && w.now() < give_up) {
+        w.run_for(step);
+    }
+    cr_assert(w.scheduler().has_value());
+    take_over seen;
+    seen.holder = *w.scheduler();
+    seen.loading = w.now() - w.state_of(seen.holder).lease.won_at;
+    seen.rows = w.rows_read_by(seen.holder) - rows[seen.holder];
+    for (std::size_t vm{0}; vm < vms; ++vm) {
+        seen.pages_lost += w.pages_lost(vm);
+    }
+    return seen;
+}
+
+} // namespace
+
+/// Seen on hanseok-cuminmoor-grown, trouble-1: holders with thin links gave reads up after 0.8 s,
+/// with all that had come, and read the same anew.
+Test(central_loading, a_thin_link_loses_no_page_and_reads_none_twice)
+{
+    constexpr std::uint64_t jobs{300};
+    central_world w{{.vms = vms, .runners = 20}};
+    submit_jobs(w, jobs, longest_text);
+    w.faults.link_bytes_per_ms = thin_link;
+    const take_over seen = observe_take_over(w);
+    cr_log_info("loading took %ld ms", static_cast<long>(seen.loading.count));
+    cr_assert_eq(seen.pages_lost, 0, "%zu pages lost", seen.pages_lost);
+    // The newest commit, jobs and progress; and up to 20 runners.
+    cr_assert_leq(seen.rows, 2 * jobs + 30);
+    // What the jobs' rows need on the link is 6.5 s.
+    cr_assert_leq(seen.loading.count, 8'000);
+    cr_assert_eq(w.state_of(seen.holder).scheduler.jobs.size(), jobs);
+    expect_no_violation(w);
+}
+
+Test(central_loading, a_wide_link_reads_a_thousand_jobs_at_once)
+{
+    constexpr std::uint64_t jobs{1'000};
+    central_world w{{.vms = vms, .runners = 20}};
+    submit_jobs(w, jobs, 1'000);
+    w.faults.link_bytes_per_ms = wide_link;
+    const take_over seen = observe_take_over(w);
+    cr_log_info("loading took %ld ms", static_cast<long>(seen.loading.count));
+    cr_assert_leq(seen.loading.count, 150);
+    cr_assert_eq(w.state_of(seen.holder).scheduler.jobs.size(), jobs);
+    expect_no_violation(w);
+}
+
+Test(central_loading, pages_grow_while_the_store_is_what_takes_time)
+{
+    page_size page;
+    cr_assert_eq(page.rows(), config::first_page_rows);
+    std::uint32_t pages{0};
+    while (page.rows() < config::max_page_rows) {
+        page.note_page(page.rows(), millis{300});
+        cr_assert_leq(++pages, 6);
+    }
+}
+
+Test(central_loading, pages_stay_small_where_the_link_is_the_limit)
+{
+    page_size page;
+    constexpr std::int64_t row_ms{30};
+    for (int i{0}; i < 100; ++i) {
+        const millis took{page.rows() * row_ms};
+        cr_assert_leq(took.count, config::page_time.count);
+        page.note_page(page.rows(), took);
+    }
+}
+
+Test(central_loading, pages_shrink_when_none_comes_in_time)
+{
+    page_size page;
+    for (int i{0}; i < 10; ++i) {
+        page.note_page(page.rows(), millis{5});
+    }
+    cr_assert_eq(page.rows(), config::max_page_rows);
+    page.note_failure();
+    cr_assert_eq(page.rows(), config::max_page_rows / config::page_cut);
+    for (int i{0}; i < 10; ++i) {
+        page.note_failure();
+    }
+    cr_assert_eq(page.rows(), config::least_page_rows);
+}
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -197,3 +197,13 @@
     cr_assert_not(odd->rows[0].value.has_value());
     cr_assert_not(platform::parse_store_page(R"j({"row_version":1})j").ok());
 }
+
+Test(platform_wire, reads_ask_for_a_bounded_page)
+{
+    cr_assert_eq(platform::format_read({table::head, ""}, "main"),
+                 "/-/rows-get?table=cuminmoor-head&part=main");
+    cr_assert_eq(platform::format_read({table::jobs, "00c0ffee0", 12}, "main"),
+                 "/-/rows-get?table=cuminmoor-jobs&part=main&from=00c0ffee0&limit=12");
+    cr_assert_eq(platform::format_read({table::runners, "", 40}, ""),
+                 "/-/rows-get?table=servers&part=&limit=40");
+}
