--- a/daemon/asio_http_client.cpp
+++ b/daemon/asio_http_client.cpp
@@ -4,6 +4,7 @@
 /// docs/design/platform.md has the figure that speaks against libcurl here.
 #include "asio_http_client.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <set>
@@ -280,6 +281,12 @@
 struct host_pool {
     std::vector<connection_ptr> idle;
     std::size_t open{0};
+    /// Calls that have a connection and are not urgent; mirrors `on_connection_`.
+    std::size_t ordinary{0};
+    /// It has had an urgent call: other calls leave one connection free.
+    bool keeps_one{false};
+    /// They go first.
+    std::deque<call_ptr> urgent;
     std::deque<call_ptr> waiting;
 };
 
@@ -329,6 +336,11 @@
     void dispatch(call_ptr call)
     {
         host_pool& pool = hosts_[call->call.address];
+        pool.keeps_one = pool.keeps_one || call->call.is_urgent;
+        if (!call->call.is_urgent && !takes_ordinary(pool)) {
+            pool.waiting.push_back(std::move(call));
+            return;
+        }
         if (!pool.idle.empty() && !call->call.fresh_connection) {
             const connection_ptr c = pool.idle.back();
             pool.idle.pop_back();
@@ -339,7 +351,39 @@
             open(pool, std::move(call));
             return;
         }
-        pool.waiting.push_back(std::move(call));
+        (call->call.is_urgent ? pool.urgent : pool.waiting).push_back(std::move(call));
+    }
+
+    /// \return true while a call that is not urgent may have a connection.
+    [[nodiscard]] bool takes_ordinary(const host_pool& pool) const
+    {
+        const std::size_t kept = pool.keeps_one && most_connections_ > 1 ? 1 : 0;
+        return pool.ordinary < most_connections_ - kept;
+    }
+
+    /// \return the waiting call that goes next, or null.
+    call_ptr take_next(host_pool& pool)
+    {
+        const bool is_urgent = !pool.urgent.empty();
+        auto& from = is_urgent ? pool.urgent : pool.waiting;
+        if (from.empty() || (!is_urgent && !takes_ordinary(pool))) {
+            return nullptr;
+        }
+        call_ptr next = std::move(from.front());
+        from.pop_front();
+        return next;
+    }
+
+    void book(const pending_call& call, std::uint64_t connection)
+    {
+        const bool is_new = on_connection_.insert_or_assign(call.number, connection).second;
+        hosts_[call.call.address].ordinary += is_new && !call.call.is_urgent ? 1 : 0;
+    }
+
+    void unbook(const pending_call& call)
+    {
+        const bool was_booked = on_connection_.erase(call.number) > 0;
+        hosts_[call.call.address].ordinary -= was_booked && !call.call.is_urgent ? 1 : 0;
     }
 
     void open(host_pool& pool, call_ptr call)
@@ -354,7 +398,7 @@
         connection_owner& self = *this;
         auto c = std::make_shared<connection>(context_, self, ++last_connection_, address);
         connections_.emplace(c->number(), c);
-        on_connection_[call->number] = c->number();
+        book(*call, c->number());
         connect_deadlines_.emplace(clock_.now() + quick_connect_timeout, c->number());
         arm_timer();
         c->on_open = [this](connection& opened) {
@@ -374,7 +418,7 @@
         }
         call->sent = true;
         call->result.sent_at = now;
-        on_connection_[call->number] = c->number();
+        book(*call, c->number());
         const std::string text = format_request(call->call, now);
         c->send(std::move(call), text);
     }
@@ -383,6 +427,7 @@
     {
         const connection_ptr c = connections_.at(number);
         call_ptr call = c->take_call();
+        unbook(*call);
         put_back(c);
         finish(std::move(call), http_outcome::answered, "");
     }
@@ -394,12 +439,11 @@
             return;
         }
         host_pool& pool = hosts_[c->address()];
-        if (pool.waiting.empty()) {
+        call_ptr next = take_next(pool);
+        if (next == nullptr) {
             pool.idle.push_back(c);
             return;
         }
-        call_ptr next = std::move(pool.waiting.front());
-        pool.waiting.pop_front();
         send(c, std::move(next));
     }
 
@@ -409,6 +453,9 @@
         call_ptr call = c->take_call();
         const bool may_resend = call != nullptr && call->call.resendable && !call->resent &&
                                 c->was_used() && !c->has_answer_bytes();
+        if (call != nullptr) {
+            unbook(*call);
+        }
         close(c);
         if (call == nullptr) {
             return;
@@ -430,9 +477,10 @@
         host_pool& pool = hosts_[c->address()];
         std::erase(pool.idle, c);
         --pool.open;
-        if (!pool.waiting.empty() && pool.open < most_connections_) {
-            call_ptr next = std::move(pool.waiting.front());
-            pool.waiting.pop_front();
+        if (pool.open >= most_connections_) {
+            return;
+        }
+        if (call_ptr next = take_next(pool); next != nullptr) {
             open(pool, std::move(next));
         }
     }
@@ -440,7 +488,7 @@
     void finish(call_ptr call, http_outcome outcome, std::string reason)
     {
         deadlines_.erase({call->call.deadline, call->number});
-        on_connection_.erase(call->number);
+        unbook(*call);
         call->result.outcome = outcome;
         call->result.error = std::move(reason);
         call->done(std::move(call->result));
@@ -454,6 +502,7 @@
         if (found != on_connection_.end()) {
             const connection_ptr c = connections_.at(found->second);
             call = c->take_call();
+            unbook(*call);
             close(c);
         }
         else {
@@ -464,7 +513,6 @@
         }
         if (reason == nullptr) {
             deadlines_.erase({call->call.deadline, number});
-            on_connection_.erase(number);
             return;
         }
         const auto outcome = call->sent ? http_outcome::lost : http_outcome::not_sent;
@@ -474,10 +522,8 @@
     call_ptr take_waiting(call_number number)
     {
         for (auto& [address, pool] : hosts_) {
-            for (auto it = pool.waiting.begin(); it != pool.waiting.end(); ++it) {
-                if ((*it)->number == number) {
-                    call_ptr call = std::move(*it);
-                    pool.waiting.erase(it);
+            for (auto* const from : {&pool.urgent, &pool.waiting}) {
+                if (call_ptr call = take_from(*from, number); call != nullptr) {
                     return call;
                 }
             }
@@ -485,6 +531,19 @@
         return nullptr;
     }
 
+    static call_ptr take_from(std::deque<call_ptr>& calls, call_number number)
+    {
+        const auto found = std::find_if(calls.begin(), calls.end(), [number](const call_ptr& each) {
+            return each->number == number;
+        });
+        if (found == calls.end()) {
+            return nullptr;
+        }
+        call_ptr call = std::move(*found);
+        calls.erase(found);
+        return call;
+    }
+
     void arm_timer()
     {
         instant due = never;
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -35,6 +35,9 @@
     bool resendable{false};
     /// Uses a new connection, so that one closed by the other side cannot lose the call.
     bool fresh_connection{false};
+    /// Goes before calls that wait for a connection and are not urgent. Only by the client without
+    /// a thread, which keeps one connection for such calls to each address that has had one.
+    bool is_urgent{false};
     /// Adds X-Deadline-Ms, the time left when the bytes go.
     bool sends_deadline{false};
     /// Not empty: the answer must repeat it in X-Request-Id.
