--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -197,3 +197,119 @@
     cr_assert_not(odd->rows[0].value.has_value());
     cr_assert_not(platform::parse_store_page(R"j({"row_version":1})j").ok());
 }
+
+// ---- Answers to holds, which are read without a tree of values
+
+namespace {
+
+/// \return why an answer to a hold cannot be read, or "ok".
+std::string hold_fault(const std::string& body)
+{
+    const auto answer = platform::parse_hold_answer(body);
+    return answer.ok() ? "ok" : std::string{answer.status().message()};
+}
+
+} // namespace
+
+Test(platform_wire_holds, rows_may_be_short_or_long)
+{
+    const auto answer = platform::parse_hold_answer(
+        R"j({"running":[["a.0.0.0",2],["b.1.2.3",1.9,"c\"\u00e4",-7,1e3,"more",[[]]],)j"
+        R"j(["c.0.0.0","x",null,true,{"k":[1]}]],"finished":[[7,"d.0.0.1",3,"lapsed"],)j"
+        R"j(["x","e.0.0.2",[4],"failed","saved",{}]],"clock_ms":9})j");
+    cr_assert(answer.ok());
+    cr_assert_eq(answer->started_at_ms, 0);
+    cr_assert_eq(answer->running.size(), 3);
+    cr_assert_eq(answer->running[0].run.value, 2);
+    cr_assert_eq(answer->running[0].checkpoint, "");
+    cr_assert_eq(answer->running[0].percent, 0);
+    cr_assert((answer->running[1].task == graph_task_id{{"b"}, 1, 2, 3}));
+    cr_assert_eq(answer->running[1].run.value, 1);
+    cr_assert_eq(answer->running[1].checkpoint, "c\"\u00e4");
+    cr_assert_eq(answer->running[1].percent, 0);
+    cr_assert_eq(answer->running[1].load, 1'000);
+    // What is no number counts as 0, and what is no text as none, also after a row that had them.
+    cr_assert_eq(answer->running[2].run.value, 0);
+    cr_assert_eq(answer->running[2].checkpoint, "");
+    cr_assert_eq(answer->running[2].load, 0);
+    cr_assert_eq(answer->ended.size(), 2);
+    cr_assert_eq(answer->ended[0].number, 7);
+    cr_assert(answer->ended[0].cause == end_cause::lease_expired);
+    cr_assert_eq(answer->ended[1].number, 0);
+    cr_assert_eq(answer->ended[1].run.value, 0);
+    cr_assert_eq(answer->ended[1].checkpoint, "saved");
+}
+
+Test(platform_wire_holds, other_fields_mean_nothing)
+{
+    const auto answer = platform::parse_hold_answer(
+        R"j({"x":{"clock_ms":1,"running":[["a.0.0.0",1]],"finished":7},"y":[["a.0.0.0",1]],)j"
+        R"j("clock_ms":9,"running":[],"z":[[[["clock_ms"]]]],"finished":[],"":null})j");
+    cr_assert(answer.ok());
+    cr_assert_eq(answer->clock.ms, 9);
+    cr_assert(answer->running.empty());
+    cr_assert(answer->ended.empty());
+}
+
+Test(platform_wire_holds, of_a_field_that_comes_twice_the_last_counts)
+{
+    const auto answer = platform::parse_hold_answer(
+        R"j({"clock_ms":"x","clock_ms":2,"running":[["a.0.0.0",1],7],"finished":3,)j"
+        R"j("running":[["b.0.0.0",1]],"finished":[]})j");
+    cr_assert(answer.ok());
+    cr_assert_eq(answer->clock.ms, 2);
+    cr_assert_eq(answer->running.size(), 1);
+    cr_assert_eq(answer->running[0].task.job.value, "b");
+    cr_assert_eq(hold_fault(R"j({"clock_ms":2,"running":[],"running":7,"finished":[]})j"),
+                 "runner's answer has no list of runs");
+}
+
+Test(platform_wire_holds, faults_are_named)
+{
+    struct faulty_body {
+        const char* body;
+        const char* fault;
+    };
+    const std::string runs_fault{"runner's answer has an unreadable row of runs"};
+    const std::string ends_fault{"runner's answer has an unreadable row of ends"};
+    for (const faulty_body& each : {
+             faulty_body{"", "runner's answer: not valid JSON"},
+             {R"j({"clock_ms":1,"running":[],"finished":[]}})j", "runner's answer: not valid JSON"},
+             {R"j({"clock_ms":1e999,"running":[],"finished":[]})j",
+              "runner's answer: not valid JSON"},
+             {R"j({"clock_ms":1,"running":[],"finished":["ÿ"]})j",
+              "runner's answer: not valid JSON"},
+             {"[]", "runner's answer: not a JSON object"},
+             {"7", "runner's answer: not a JSON object"},
+             {R"j([{"clock_ms":1,"running":[],"finished":[]}])j",
+              "runner's answer: not a JSON object"},
+             {R"j({"running":[],"finished":[]})j", "runner's answer: field 'clock_ms' is missing"},
+             {R"j({"clock_ms":[1],"running":[],"finished":[]})j",
+              "runner's answer: field 'clock_ms' must be a whole number"},
+             {R"j({"clock_ms":1.5,"running":7})j",
+              "runner's answer: field 'clock_ms' must be a whole number"},
+             {R"j({"clock_ms":-3,"running":[],"finished":[]})j",
+              "runner's answer: field 'clock_ms' is -3, allowed are 0 to 9223372036854775807"},
+             {R"j({"clock_ms":1,"born":{},"running":[],"finished":[]})j",
+              "runner's answer: field 'born' must be a whole number"},
+             {R"j({"clock_ms":1,"finished":[]})j", "runner's answer has no list of runs"},
+             {R"j({"clock_ms":1,"running":{"a":[["a.0.0.0",1]]},"finished":[]})j",
+              "runner's answer has no list of runs"},
+             {R"j({"clock_ms":1,"running":[]})j", "runner's answer has no list of ends"},
+             {R"j({"clock_ms":1,"running":[7],"finished":7})j", runs_fault.c_str()},
+             {R"j({"clock_ms":1,"running":[{"k":["a.0.0.0",1]}],"finished":[]})j",
+              runs_fault.c_str()},
+             {R"j({"clock_ms":1,"running":[["a.0.0.0"]],"finished":[]})j", runs_fault.c_str()},
+             {R"j({"clock_ms":1,"running":[["a.0.0",1]],"finished":[]})j", runs_fault.c_str()},
+             {R"j({"clock_ms":1,"running":[["a.0.0.0.0",1]],"finished":[]})j", runs_fault.c_str()},
+             {R"j({"clock_ms":1,"running":[["a.0.0.x",1]],"finished":[]})j", runs_fault.c_str()},
+             {R"j({"clock_ms":1,"running":[[["a.0.0.0"],1]],"finished":[]})j", runs_fault.c_str()},
+             {R"j({"clock_ms":1,"running":[],"finished":[[1,"a.0.0.0",1]]})j", ends_fault.c_str()},
+             {R"j({"clock_ms":1,"running":[],"finished":[[1,"a.0.0.0",1,7,""]]})j",
+              ends_fault.c_str()},
+             {R"j({"clock_ms":1,"running":[],"finished":[[1,"a.0.0.0",1,"done",""],null]})j",
+              ends_fault.c_str()},
+         }) {
+        cr_expect_eq(hold_fault(each.body), std::string{each.fault}, "%s", each.body);
+    }
+}
