Runs are looked at for a stop to order again only when one failed

Callers saw: on grown deployments the scheduling VM's processor is the limit. Cause: each wake-up of the reducer looked up the task of every run of every runner, to find the few whose stop had failed; the work grew with the deployment and not with the stops. Change: a runner's record keeps when its first failed stop is due (stops_due). Only an order that failed sets it; a look at the runner sets it anew. Class: work for each event that grows with the whole deployment.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -218,6 +218,8 @@
     std::set<graph_task_id> runs;
     /// Runs there that belong to no task of ours any more; nothing is placed until they are gone.
     std::map<graph_task_id, foreign_run> foreign;
+    /// No stop there that failed is to be ordered again before.
+    instant stops_due{never};
 
     bool hold_in_flight{false};
     std::uint64_t holds_sent{0};
@@ -385,6 +387,8 @@
     instant placed_at;
     /// Runners that were weighed for a task, since the lease was won.
     std::uint64_t runners_weighed{0};
+    /// Runs that were looked at for a stop to order again, since the lease was won.
+    std::uint64_t runs_checked{0};
     instant relocated_at;
     /// Calls that came before the jobs were read.
     std::vector<std::pair<call_handle, job_call>> deferred;
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -125,6 +125,7 @@
 void uncharge_run(runner_record& r, const task_place& place, const graph_task_id& id);
 /// The run certainly runs no longer: its room is free, and the task may start again.
 void release_run(const context& c, const graph_task_id& id, task_place place);
+/// Orders stops there again that failed a while ago.
 void check_stops(const context& c, runner_record& r);
 /// The runner's life is over, or its leases have expired: nothing runs there.
 void lose_all_runs(const context& c, runner_record& r, const std::string& cause);
--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -104,7 +104,7 @@
 }
 
 template <typename Run>
-void note_stop(const context& c, Run& stopped, const runner_order_ended& e, const runner_record& r)
+void note_stop(const context& c, Run& stopped, const runner_order_ended& e, runner_record& r)
 {
     stopped.stop_in_flight = false;
     const bool is_confirmed =
@@ -114,6 +114,7 @@
     }
     else {
         stopped.stop_again_at = c.now + config::stop_retry;
+        r.stops_due = std::min(r.stops_due, stopped.stop_again_at);
         c.wake(stopped.stop_again_at);
     }
 }
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -25,6 +25,17 @@
     release_run(c, id, place);
 }
 
+/// \return true when the stop of a run is to be ordered again now; notes when it is later.
+template <typename Run>
+bool is_stop_due(const context& c, runner_record& r, const Run& stopped)
+{
+    const bool has_failed = !stopped.stop_in_flight && stopped.stop_confirmed_at_hold == 0;
+    if (has_failed && c.now < stopped.stop_again_at) {
+        r.stops_due = std::min(r.stops_due, stopped.stop_again_at);
+    }
+    return has_failed && c.now >= stopped.stop_again_at;
+}
+
 } // namespace
 
 runner_record* find_runner(const context& c, const runner_id& id)
@@ -208,22 +219,21 @@
 
 void check_stops(const context& c, runner_record& r)
 {
+    if (c.now < r.stops_due) {
+        return;
+    }
+    r.stops_due = never;
     for (const graph_task_id& id : r.runs) {
+        ++c.s.scheduler.runs_checked;
         const task_place place = find_task(c.s, id);
-        if (!place || !place.task->where) {
-            continue;
-        }
-        run& each = *place.task->where;
-        const bool is_due = each.phase == run_phase::stopping && !each.stop_in_flight &&
-                            each.stop_confirmed_at_hold == 0 && c.now >= each.stop_again_at;
-        if (is_due) {
-            stop_run(c, id, each);
+        const bool is_stopping =
+            place && place.task->where && place.task->where->phase == run_phase::stopping;
+        if (is_stopping && is_stop_due(c, r, *place.task->where)) {
+            stop_run(c, id, *place.task->where);
         }
     }
     for (auto& [id, f] : r.foreign) {
-        const bool is_due =
-            !f.stop_in_flight && f.stop_confirmed_at_hold == 0 && c.now >= f.stop_again_at;
-        if (is_due) {
+        if (is_stop_due(c, r, f)) {
             f.stop_in_flight = true;
             order_stop(c, r, id, f.number);
         }
