Lease: answers to a renewal, a release and a claim are told apart

Callers saw, or could see: nobody scheduled for 3.1 s after a planned stop, and calls of that time refused or in doubt when their patience ended. Cause: a renewal that was in flight when the shutdown began was taken for the release; the row was not released. The same class: an answer to a commit of an earlier term counted for the claim under way, and a claim whose answer was lost was followed by a whole lease of waiting, though the row was ours. Change: commits of the row are numbered, the one in flight is known as a release or not, and an own row that nobody acts on is claimed at once.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -305,6 +305,10 @@
     instant renewed_at;
     instant renewal_sent_at;
     bool renewal_in_flight{false};
+    /// The commit in flight gives the lease up.
+    bool release_in_flight{false};
+    /// Number of the newest commit of the row; answers to earlier ones mean nothing any more.
+    std::uint64_t last_commit{0};
     instant retry_at;
     term_number term;
     bool releasing{false};
--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -40,7 +40,8 @@
 instant claimable_at(const central_state& s)
 {
     const lease_state& l = s.lease;
-    if (is_from_earlier_life(s)) {
+    // Also a claim of this life whose answer was lost: nobody else may hold it.
+    if (is_from_earlier_life(s) || (is_mine(s) && !l.row->released)) {
         return l.seen_at;
     }
     if (!l.row || l.row->released) {
@@ -72,7 +73,9 @@
     commit.purpose = commit_purpose::lease;
     commit.preconditions.push_back({lease_key, l.version});
     commit.changes.push_back({lease_key, encode_lease(own_row(c.s, l.term, released))});
+    commit.number = ++l.last_commit;
     l.renewal_in_flight = true;
+    l.release_in_flight = released;
     l.renewal_sent_at = c.now;
     c.add(std::move(commit));
 }
@@ -106,25 +109,6 @@
     begin_loading(c);
 }
 
-void on_renewed(const context& c, const rows_committed& e)
-{
-    lease_state& l = c.s.lease;
-    if (e.outcome == store_outcome::ok) {
-        l.version = e.version;
-        l.seen_at = c.now;
-        l.renewed_at = l.renewal_sent_at;
-        if (l.releasing) {
-            l.row = own_row(c.s, l.term, true);
-            step_down(c, c.s.stopping ? "released for a shutdown" : "released for an abler VM");
-        }
-        return;
-    }
-    l.retry_at = c.now + config::lease_retry;
-    if (e.outcome == store_outcome::conflict && !is_mine(c.s)) {
-        step_down(c, "another VM holds the lease");
-    }
-}
-
 /// A holder that can carry clearly less than another VM gives the lease up, once its jobs are in
 /// hand.
 bool should_hand_over(const context& c)
@@ -149,9 +133,31 @@
     if (l.releasing && c.now < l.retry_at) {
         return;
     }
-    rows_commit renewal;
-    renewal.number = l.term.value;
-    send_lease(c, std::move(renewal), l.releasing);
+    send_lease(c, {}, l.releasing);
+}
+
+void on_renewed(const context& c, const rows_committed& e)
+{
+    lease_state& l = c.s.lease;
+    if (e.outcome == store_outcome::ok) {
+        l.version = e.version;
+        l.seen_at = c.now;
+        l.renewed_at = l.renewal_sent_at;
+        if (l.release_in_flight) {
+            l.row = own_row(c.s, l.term, true);
+            step_down(c, c.s.stopping ? "released for a shutdown" : "released to others");
+        }
+        else if (l.releasing) {
+            // It was an ordinary renewal, sent before.
+            l.retry_at = c.now;
+            renew_when_due(c);
+        }
+        return;
+    }
+    l.retry_at = c.now + config::lease_retry;
+    if (e.outcome == store_outcome::conflict && !is_mine(c.s)) {
+        step_down(c, "another VM holds the lease");
+    }
 }
 
 } // namespace
@@ -235,6 +241,9 @@
 void on_lease_committed(const context& c, const rows_committed& e)
 {
     lease_state& l = c.s.lease;
+    if (e.number != l.last_commit) {
+        return;
+    }
     l.renewal_in_flight = false;
     if (l.now == role::claiming) {
         on_claimed(c, e);
@@ -293,6 +302,9 @@
     }
     c.s.scheduler = {};
     c.s.lease.releasing = false;
+    // Whatever is on its way belongs to the term that ended.
+    ++c.s.lease.last_commit;
+    c.s.lease.renewal_in_flight = false;
     become_follower(c);
 }
 
--- a/tests/test_central_takeover.cpp
+++ b/tests/test_central_takeover.cpp
@@ -1,10 +1,12 @@
 /// \file
 /// Taking over the schedule: what a new holder of the lease does first.
 #include <cstdint>
+#include <map>
 #include <optional>
 
 #include <criterion/criterion.h>
 
+#include "central/codec.h"
 #include "central/expectations.h"
 
 using namespace cuminmoor;
@@ -121,3 +123,122 @@
     cr_assert_eq(w.state_of(0).lease.term.value, term);
     expect_no_violation(w);
 }
+
+namespace {
+
+/// \return how long nobody schedules from now on.
+millis time_without_scheduler(central_world& w, std::size_t except)
+{
+    const instant since = w.now();
+    while ((!w.scheduler() || *w.scheduler() == except) && (w.now() - since).count < 20'000) {
+        w.run_for({5});
+    }
+    return w.now() - since;
+}
+
+} // namespace
+
+/// A renewal that is in flight at SIGTERM is taken for the release.
+Test(central_takeover, a_stop_while_a_renewal_is_in_flight_releases_the_lease)
+{
+    central_world w{{}};
+    w.run_for(warm_up);
+    const std::size_t old = *w.scheduler();
+    while (!w.state_of(old).lease.renewal_in_flight) {
+        w.run_for({1});
+    }
+    w.stop_gracefully(old);
+    const millis gap = time_without_scheduler(w, old);
+    cr_log_info("nobody scheduled for %ld ms", gap.count);
+    cr_assert_leq(gap.count, 600);
+}
+
+/// The same, and what a caller is told meanwhile.
+Test(central_takeover, a_caller_is_served_after_a_stop_while_a_renewal_is_in_flight)
+{
+    central_world w{{}};
+    w.run_for(warm_up);
+    const std::size_t old = *w.scheduler();
+    while (!w.state_of(old).lease.renewal_in_flight) {
+        w.run_for({1});
+    }
+    w.stop_gracefully(old);
+    w.run_for({30});
+    const std::size_t other = (old + 1) % 3;
+    w.submit(other, central_world::make_job(id_of(1), 1, 1, {100}));
+    w.run_for({2'950});
+    cr_assert(w.caller(id_of(1)).was_accepted);
+}
+
+/// A claim that was carried out and whose answer was lost is followed by a pause of a lease.
+Test(central_takeover, a_claim_whose_answer_is_lost_is_taken_up_again)
+{
+    central_world w{{.vms = 1}};
+    bool is_set{false};
+    while (w.state_of(0).lease.now != role::scheduler && w.now().ms < 20'000) {
+        if (!is_set && w.state_of(0).lease.now == role::reading_head) {
+            w.faults.lost_commits = 1;
+            is_set = true;
+        }
+        if (w.state_of(0).lease.now == role::claiming) {
+            w.faults.lost_commits = 0;
+        }
+        w.run_for({1});
+    }
+    cr_log_info("scheduling at %ld ms (start at 1000)", w.now().ms);
+    cr_assert(is_set);
+    cr_assert_leq(w.now().ms, 1'000 + 1'500 + 1'000);
+}
+
+namespace {
+
+/// A VM that schedules, event by event.
+class holder {
+public:
+    holder()
+    {
+        s.self.vm.value = "vm1";
+        s.self.address = "10.0.0.1:7000";
+        s.self.incarnation = 7;
+        s.manifest_read = true;
+        s.store_is_reachable = true;
+        queue q;
+        q.name.value = "q";
+        q.host = "jobs.example";
+        q.path_prefix = "/q/";
+        s.operators.newest = {1, {q}};
+        s.lease.term.value = 1;
+        s.lease.now = role::scheduler;
+        s.lease.version = 5;
+        s.lease.row = lease_row{"vm1", s.self.address, 7, s.lease.term, false};
+        s.lease.seen_at = s.lease.renewed_at = s.lease.renewal_sent_at = now;
+    }
+    effects give(const central::event& e)
+    {
+        effects out = central::reduce(s, e, now, {0});
+        for (const central::effect& each : out) {
+            if (const auto* a = std::get_if<answer_call>(&each)) {
+                told[a->handle.value] = a->answer.result;
+            }
+            commits += std::holds_alternative<rows_commit>(each) ? 1 : 0;
+        }
+        return out;
+    }
+    central_state s;
+    instant now{10'000};
+    std::map<std::uint64_t, call_result> told;
+    int commits{0};
+};
+
+} // namespace
+
+/// An answer to a renewal of an earlier term is taken for the answer to the claim under way.
+Test(central_takeover, a_late_answer_to_a_renewal_does_not_win_a_claim)
+{
+    holder h;
+    h.s.lease.now = role::claiming;
+    h.s.lease.term.value = 3;
+    h.s.lease.renewal_in_flight = true;
+    h.give(rows_committed{commit_purpose::lease, 1, store_outcome::ok, 6});
+    cr_assert(h.s.lease.now == role::claiming);
+}
