A new holder that reads no page for 6 s leaves the lease to others

Cause: since renewals come in time, a holder whose reads all fail would keep the lease for ever (found by the review; reducer test: still loading after 60 s before, lease given up now).

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -30,6 +30,8 @@
 inline constexpr millis least_hold_before_handover{2'000};
 /// A VM that passed on a call within this time is taken for alive.
 inline constexpr millis heard_recently{1'500};
+/// A new holder that has read no page for this long leaves the lease to others.
+inline constexpr millis loading_patience{6'000};
 inline constexpr millis capacity_write_retry{1'000};
 
 // Reads of the store.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -378,6 +378,8 @@
 
 /// What a new holder of the lease reads: one table after the other, one page at a time.
 struct loading_state {
+    /// When the lease was won or the last page came.
+    instant progressed_at;
     page_size page;
     table_reading jobs;
     table_reading progress;
--- a/src/central/loading.cpp
+++ b/src/central/loading.cpp
@@ -250,6 +250,7 @@
 void begin_loading(const context& c)
 {
     c.add(follow_register{true});
+    c.s.scheduler.loading.progressed_at = c.now;
     read_next_page(c);
 }
 
@@ -275,6 +276,7 @@
         c.wake(reading->retry_at);
         return;
     }
+    c.s.scheduler.loading.progressed_at = c.now;
     for (const table_row& r : e.rows) {
         reading->rows[r.key] = r.value;
     }
@@ -298,6 +300,11 @@
     if (is_whole) {
         begin_scheduling(c);
     }
+    else if (c.now - l.progressed_at >= config::loading_patience && !c.s.lease.releasing) {
+        c.log("loading_given_up", {{"term", absl::StrCat(c.s.lease.term.value)},
+                                   {"idle_ms", absl::StrCat((c.now - l.progressed_at).count)}});
+        begin_release(c);
+    }
     else {
         read_next_page(c);
     }
--- a/tests/test_central_takeover.cpp
+++ b/tests/test_central_takeover.cpp
@@ -232,6 +232,41 @@
 
 } // namespace
 
+/// Reads that never succeed: the holder keeps the lease and never schedules.
+Test(central_takeover, a_holder_that_cannot_read_the_jobs_gives_up_the_lease)
+{
+    holder h;
+    h.s.lease.now = role::loading;
+    std::multimap<std::int64_t, central::event> later;
+    const auto work = [&](const effects& out) {
+        for (const central::effect& each : out) {
+            if (const auto* r = std::get_if<rows_read>(&each)) {
+                rows_read_done failed;
+                failed.where = r->where;
+                later.emplace(h.now.ms + 800, failed);
+            }
+            if (const auto* commit = std::get_if<rows_commit>(&each)) {
+                later.emplace(h.now.ms + 10,
+                              rows_committed{commit->purpose, commit->number, store_outcome::ok,
+                                             h.s.lease.version + 1});
+            }
+        }
+    };
+    const std::int64_t end = h.now.ms + 60'000;
+    while (h.now.ms < end) {
+        h.now.ms += 10;
+        while (!later.empty() && later.begin()->first <= h.now.ms) {
+            const central::event e = later.begin()->second;
+            later.erase(later.begin());
+            work(h.give(e));
+        }
+        work(h.give(tick{}));
+    }
+    cr_log_info("after 60 s without a page: %d commits, loading %d", h.commits,
+                h.s.lease.now == role::loading);
+    cr_assert(h.s.lease.now != role::loading);
+}
+
 /// An answer to a renewal of an earlier term is taken for the answer to the claim under way.
 Test(central_takeover, a_late_answer_to_a_renewal_does_not_win_a_claim)
 {
