--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -163,6 +163,10 @@
     runner_record* choose(const graph_task_id& id, const task_place& place,
                           room_wanted wanted = room_wanted::full_speed);
 
+    /// \return false when as many or fewer members of that size found no room together.
+    [[nodiscard]] bool may_have_room_for_gang(const task_place& place) const;
+    void note_gang_without_room(const task_place& place);
+
 private:
     /// All that decides about a task's room but its size.
     using demand = std::tuple<service_id, std::string, image_number, bool, room_wanted>;
@@ -172,8 +176,13 @@
 
     const context& c_;
     const std::vector<runner_record*>& runners_;
+    struct gang_size {
+        resources member;
+        std::size_t members{0};
+    };
     /// Sizes that found no room.
     std::map<demand, std::vector<resources>> failed_;
+    std::map<demand, std::vector<gang_size>> failed_gangs_;
 };
 
 // ---- relocation.cpp
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -151,10 +151,14 @@
 /// Starts all members of a gang at once, or none.
 /// Its members are booked one by one and taken out again when there is not room for all, so it
 /// chooses by itself: what found no room meanwhile says nothing about other steps.
-void place_gang(const context& c, const std::vector<runner_record*>& runners, graph_task_id id)
+void place_gang(const context& c, const std::vector<runner_record*>& runners,
+                runner_chooser& of_round, graph_task_id id)
 {
-    runner_chooser chooser{c, runners};
     const task_place first = find_task(c.s, id);
+    if (!of_round.may_have_room_for_gang(first)) {
+        return;
+    }
+    runner_chooser chooser{c, runners};
     const auto& tasks = first.progress->tasks;
     run_number number;
     for (const task_record& task : tasks) {
@@ -173,6 +177,9 @@
         chosen.push_back(r);
     }
     const bool is_whole = chosen.size() == tasks.size();
+    if (!is_whole) {
+        of_round.note_gang_without_room(first);
+    }
     for (id.index = 0; id.index < chosen.size(); ++id.index) {
         runner_record& r = *chosen[id.index];
         uncharge_run(r, first, id);
@@ -208,7 +215,7 @@
         return;
     }
     if (first.step->is_gang) {
-        place_gang(c, runners, id);
+        place_gang(c, runners, chooser, id);
         return;
     }
     const std::size_t count = first.progress->tasks.size();
@@ -254,6 +261,26 @@
                        [&size](const resources& failed) { return failed.fits(size); });
 }
 
+bool runner_chooser::may_have_room_for_gang(const task_place& place) const
+{
+    const auto found = failed_gangs_.find(demand_of(place, room_wanted::full_speed));
+    if (found == failed_gangs_.end()) {
+        return true;
+    }
+    const gang_size asked{place.step->task_size, place.progress->tasks.size()};
+    return std::none_of(found->second.begin(), found->second.end(), [&](const gang_size& failed) {
+        return failed.member.fits(asked.member) && failed.members <= asked.members;
+    });
+}
+
+void runner_chooser::note_gang_without_room(const task_place& place)
+{
+    if (place.step->max_per_runner == 0) {
+        failed_gangs_[demand_of(place, room_wanted::full_speed)].push_back(
+            {place.step->task_size, place.progress->tasks.size()});
+    }
+}
+
 runner_record* runner_chooser::choose(const graph_task_id& id, const task_place& place,
                                       room_wanted wanted)
 {
--- a/tests/test_central_queue.cpp
+++ b/tests/test_central_queue.cpp
@@ -41,3 +41,30 @@
     cr_assert_geq(w.state_of(0).scheduler.ready.size(), waiting / 2);
     expect_no_violation(w);
 }
+
+/// Gangs that wait weigh all runners anew, member by member, in each placement.
+Test(central_queue, gangs_that_wait_do_not_weigh_all_runners_in_each_placement)
+{
+    constexpr std::size_t runners{20};
+    const auto looks_in_a_second = [](std::uint64_t gangs) {
+        central_world w{{.vms = 1, .runners = runners}};
+        w.run_for(warm_up);
+        w.submit(0, central_world::make_job(id_of(1), 1, 100, {30'000}));
+        w.submit(0, central_world::make_job(id_of(2), 20, 1, {100}));
+        w.run_for({200});
+        for (std::uint64_t n{3}; n < 3 + gangs; ++n) {
+            graph_job job = central_world::make_job(id_of(n), 1, 80, {500});
+            job.steps[0].is_gang = true;
+            w.submit(0, job);
+        }
+        w.run_for({200});
+        const std::uint64_t before = w.state_of(0).scheduler.runners_weighed;
+        w.run_for({1'000});
+        return (w.state_of(0).scheduler.runners_weighed - before) / runners;
+    };
+    const auto few = looks_in_a_second(2);
+    const auto many = looks_in_a_second(40);
+    cr_log_info("looks at all runners in a second: %lu with 2 gangs waiting, %lu with 40", few,
+                many);
+    cr_assert_leq(many, 2 * few);
+}
