--- a/tests/test_daemon_http_priority.cpp
+++ b/tests/test_daemon_http_priority.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <deque>
+#include <exception>
 #include <functional>
 #include <memory>
 #include <string>
@@ -106,3 +107,39 @@
     }
     cr_assert(f.run_until([&server] { return server.requests() == connections; }));
 }
+
+/// A resent call that waits for a connection still has its old one in the books.
+Test(http_priority, a_resent_call_that_waits_for_a_connection_can_be_given_up)
+{
+    raw_http_server server{{whole("one"), test::reaction{"", true}}};
+    io::system_clock clock;
+    asio::io_context context{1};
+    auto client = io::make_asio_http_client(context, clock, 1);
+    const auto make = [&](cm::millis time) {
+        io::http_call call;
+        call.method = "POST";
+        call.address = server.address();
+        call.target = "/x";
+        call.body = std::make_shared<const std::string>("payload");
+        call.deadline = clock.now() + time;
+        call.max_answer_bytes = 1'000;
+        call.resendable = true;
+        return call;
+    };
+    int ended{0};
+    client->start(make({2'000}), [&](const io::http_result&) {
+        ++ended;
+        client->start(make({300}), [&](const io::http_result&) { ++ended; });
+        client->start(make({600}), [&](const io::http_result&) { ++ended; });
+    });
+    std::string thrown;
+    try {
+        context.run_for(std::chrono::milliseconds{1'500});
+    }
+    catch (const std::exception& e) {
+        thrown = e.what();
+    }
+    cr_log_info("calls ended %d, thrown '%s'", ended, thrown.c_str());
+    cr_assert(thrown.empty());
+    cr_assert_eq(ended, 3);
+}
