A log line beyond the bound is left out before it is formatted

Callers saw: on grown deployments the scheduling VM's processor is the limit. Cause: with three lines for a task and some 900 tasks a second, most lines lie beyond the log's 256 KiB a second; each was formatted, and the time of day read for it, before the log left it out. Change: what event and fields take at least is summed up first; a line that can't fit is counted and left. Which lines are written, and the count of the others, stay as they are: the new test passes on the code before as well.

--- a/daemon/line_log.cpp
+++ b/daemon/line_log.cpp
@@ -27,6 +27,16 @@
     return std::int64_t{t.tv_sec} * ms_per_second + t.tv_nsec / ns_per_ms;
 }
 
+/// \return the bytes of a line's event and fields at least: quotes may come to them.
+std::size_t least_bytes(const std::string& event, const std::vector<log_field>& fields)
+{
+    std::size_t bytes = event.size();
+    for (const log_field& f : fields) {
+        bytes += f.name.size() + f.value.size();
+    }
+    return bytes;
+}
+
 bool is_writable()
 {
     pollfd out{STDOUT_FILENO, POLLOUT, 0};
@@ -40,28 +50,37 @@
 {
 }
 
-bool line_log::admit(std::size_t bytes)
+void line_log::begin_window_when_due()
 {
     const instant now = clock_.now();
     if (now - window_began_ >= window_length) {
         window_began_ = now;
         window_bytes_ = 0;
     }
-    const bool fits =
-        window_bytes_ + bytes <= bytes_per_second && waiting_.size() + bytes <= max_waiting_bytes;
-    window_bytes_ += fits ? bytes : 0;
-    return fits;
+}
+
+bool line_log::fits(std::size_t bytes) const
+{
+    return window_bytes_ + bytes <= bytes_per_second &&
+           waiting_.size() + bytes <= max_waiting_bytes;
 }
 
 void line_log::add(const std::string& event, const std::vector<log_field>& fields)
 {
+    begin_window_when_due();
+    if (!fits(least_bytes(event, fields) + suffix_.size())) {
+        // Left out before any work is done for it: in a flood most lines are.
+        ++left_out_;
+        return;
+    }
     std::string line = "t=" + std::to_string(wall_ms()) + " " + format_event(event, fields);
     line += suffix_;
     line += '\n';
-    if (!admit(line.size())) {
+    if (!fits(line.size())) {
         ++left_out_;
         return;
     }
+    window_bytes_ += line.size();
     waiting_ += line;
 }
 
--- a/daemon/line_log.h
+++ b/daemon/line_log.h
@@ -30,7 +30,8 @@
     [[nodiscard]] std::uint64_t left_out() const { return left_out_; }
 
 private:
-    bool admit(std::size_t bytes);
+    void begin_window_when_due();
+    [[nodiscard]] bool fits(std::size_t bytes) const;
 
     clock_source& clock_;
     std::string suffix_;
--- a/tests/test_daemon_logging.cpp
+++ b/tests/test_daemon_logging.cpp
@@ -2,12 +2,24 @@
 /// Log lines and their limit.
 #include <criterion/criterion.h>
 
+#include "line_log.h"
 #include "log_limiter.h"
 #include "logging.h"
 
 namespace cm = cuminmoor;
 namespace io = cuminmoor::io;
 
+namespace {
+
+class set_clock final : public cm::clock_source {
+public:
+    cm::instant now() override { return shown; }
+
+    cm::instant shown{5'000};
+};
+
+} // namespace
+
 Test(logging, values_that_need_it_are_quoted)
 {
     cr_assert_eq(io::format_event("e", {{"a", "1"}, {"b", "two words"}, {"c", ""}}),
@@ -26,3 +38,30 @@
     cr_assert(limiter.admit(cm::instant{6'000}) == 2);
     cr_assert(limiter.admit(cm::instant{6'000}) == 0);
 }
+
+Test(line_log, lines_beyond_the_bound_are_counted_and_shorter_ones_still_fit)
+{
+    set_clock clock;
+    io::line_log log{clock, "vm-1", "fd-1"};
+    const std::vector<cm::log_field> fields{{"task", "a.0.0.1"}, {"detail", "two words"}};
+    // The time of day has 13 digits.
+    const std::size_t line_bytes = std::string{"t=1234567890123  vm=vm-1 fd=fd-1\n"}.size() +
+                                   io::format_event("run_started", fields).size();
+    const std::size_t admitted = io::line_log::bytes_per_second / line_bytes;
+    constexpr std::size_t lines{10'000};
+    for (std::size_t i{0}; i < lines; ++i) {
+        log.add("run_started", fields);
+    }
+    cr_assert_eq(log.left_out(), lines - admitted);
+    // A line of the bytes that are left fits exactly once.
+    const std::size_t left = io::line_log::bytes_per_second - admitted * line_bytes;
+    const std::size_t shortest = std::string{"t=1234567890123 event= vm=vm-1 fd=fd-1\n"}.size();
+    cr_assert_geq(left, shortest);
+    log.add(std::string(left - shortest, 'e'), {});
+    cr_assert_eq(log.left_out(), lines - admitted);
+    log.add("e", {});
+    cr_assert_eq(log.left_out(), lines - admitted + 1);
+    clock.shown = cm::instant{6'000};
+    log.add("run_started", fields);
+    cr_assert_eq(log.left_out(), lines - admitted + 1);
+}
