Refused callers are told to come back after one second or two, by their job's id

What callers saw: all that were refused in one moment were told to come back after the same second. Change: where an answer leaves, the time to come back of 429 and 503 is one or two times `retry_after`, by a hash of the job's id and the call's number; whole seconds, since callers are told no less. Test: the new test of test_central_entry failed with the entry.cpp before (1 of 7 failed), 7 of 7 pass after; test_central_faults 19 of 19.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -147,7 +147,10 @@
 inline constexpr millis call_retry{100};
 /// How long a call that has reached nobody waits for a scheduler before it is refused.
 inline constexpr millis scheduler_patience{700};
+/// When a refused caller should come back, in whole seconds since callers are told no less; refused
+/// callers are spread over so many multiples of it.
 inline constexpr millis retry_after{1'000};
+inline constexpr std::uint64_t retry_after_steps{2};
 
 // Shutdown.
 /// Callers on open connections are served this long after the shutdown began.
--- a/src/central/entry.cpp
+++ b/src/central/entry.cpp
@@ -192,6 +192,31 @@
     return is_doubtful ? call_answer{.result = call_result::outcome_unknown} : a;
 }
 
+/// \return the same number for the same job and call everywhere (FNV-1a).
+std::uint64_t spread_number(const open_call& call, call_handle handle)
+{
+    constexpr std::uint64_t basis{14'695'981'039'346'656'037U};
+    constexpr std::uint64_t prime{1'099'511'628'211U};
+    std::uint64_t number{basis ^ handle.value};
+    for (const char each : call.call.job.value) {
+        number = (number ^ static_cast<unsigned char>(each)) * prime;
+    }
+    constexpr unsigned half{32};
+    return number ^ (number >> half);
+}
+
+/// \return the answer with a time to come back that differs between refused callers.
+call_answer with_spread_return(const open_call& call, call_handle handle, call_answer a)
+{
+    const bool names_time =
+        a.result == call_result::unavailable || a.result == call_result::overloaded;
+    if (names_time) {
+        const std::uint64_t step = spread_number(call, handle) % config::retry_after_steps;
+        a.retry_after = config::retry_after * static_cast<std::int64_t>(step + 1);
+    }
+    return a;
+}
+
 /// Finds the queue and the job that a request names.
 call_result resolve(const context& c, const caller_call& e, job_call& call)
 {
@@ -318,8 +343,9 @@
     if (found == c.s.calls.end()) {
         return;
     }
-    const call_answer told = without_false_promise(found->second, a);
-    log_answer(c, found->second, told);
+    const open_call& call = found->second;
+    const call_answer told = with_spread_return(call, handle, without_false_promise(call, a));
+    log_answer(c, call, told);
     c.add(answer_call{handle, told});
     c.s.calls.erase(found);
 }
--- a/tests/test_central_entry.cpp
+++ b/tests/test_central_entry.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// Calls at an entry VM, event by event: what a caller may be told after a peer was silent.
+#include <map>
 #include <optional>
 
 #include <criterion/criterion.h>
@@ -33,14 +34,14 @@
         state_.lease.row = row;
     }
 
-    void submit()
+    void submit(std::uint64_t job = 1)
     {
         caller_call call;
         call.handle = handle;
         call.kind = call_kind::submit;
         call.host = "jobs.example";
-        call.path = "/q/" + id_of(1);
-        call.submitted = central_world::make_job(id_of(1), 1, 1, {100});
+        call.path = "/q/" + id_of(job);
+        call.submitted = central_world::make_job(id_of(job), 1, 1, {100});
         call.patience = {3'000};
         give(call);
     }
@@ -86,6 +87,7 @@
 
     /// \return what the caller was told.
     [[nodiscard]] std::optional<call_result> told() const { return told_; }
+    [[nodiscard]] millis come_back_after() const { return come_back_after_; }
     [[nodiscard]] int peer_calls() const { return peer_calls_; }
 
 private:
@@ -94,6 +96,7 @@
         for (const central::effect& each : central::reduce(state_, e, now_, {0})) {
             if (const auto* answer = std::get_if<answer_call>(&each)) {
                 told_ = answer->answer.result;
+                come_back_after_ = answer->answer.retry_after;
             }
             peer_calls_ += std::holds_alternative<peer_call>(each) ? 1 : 0;
         }
@@ -102,6 +105,7 @@
     central_state state_;
     instant now_{1'000};
     std::optional<call_result> told_;
+    millis come_back_after_;
     int peer_calls_{0};
 };
 
@@ -170,3 +174,21 @@
     vm.take_from_peer();
     cr_assert(vm.told() == call_result::not_scheduler);
 }
+
+Test(central_entry, refused_callers_are_told_different_times_to_come_back)
+{
+    constexpr std::uint64_t callers{200};
+    std::map<std::int64_t, std::uint64_t> count;
+    for (std::uint64_t job{0}; job < callers; ++job) {
+        entry_vm vm;
+        vm.submit(job);
+        vm.end_peer_call(call_result::unavailable);
+        ++count[vm.come_back_after().count];
+    }
+    cr_assert_eq(count.size(), config::retry_after_steps);
+    for (const auto& [time, share] : count) {
+        constexpr std::int64_t ms_per_second{1'000};
+        cr_assert(time >= config::retry_after.count and time % ms_per_second == 0);
+        cr_assert(share > callers / config::retry_after_steps / 2);
+    }
+}
