--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -43,6 +43,8 @@
 inline constexpr millis quick_page{100};
 /// At 2 Mbit/s, rows with the longest text of a job come in half of `page_time`.
 inline constexpr std::uint32_t first_page_rows{12};
+/// Rows of tables that are followed are short.
+inline constexpr std::uint32_t first_feed_rows{64};
 inline constexpr std::uint32_t least_page_rows{4};
 /// Most that the store gives.
 inline constexpr std::uint32_t max_page_rows{500};
--- a/include/cuminmoor/central/page_size.h
+++ b/include/cuminmoor/central/page_size.h
@@ -2,7 +2,9 @@
 /// How many rows to ask for in one page of a table, so that it comes in time over any link.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <string>
 
 #include "cuminmoor/central/config.h"
 
@@ -12,6 +14,9 @@
 /// pages, and stays where the link is the limit. Shrinks when a page did not come in time.
 class page_size {
 public:
+    page_size() = default;
+    explicit page_size(std::uint32_t first_rows) : rows_{first_rows} {}
+
     [[nodiscard]] std::uint32_t rows() const { return rows_; }
 
     /// A page that another one follows has come.
@@ -26,4 +31,8 @@
     double rows_per_ms_{0};
 };
 
+/// \return where the page after this key begins: above it, and below all longer keys that begin
+/// with it, as keys hold no spaces.
+std::string first_key_after(const std::string& key);
+
 } // namespace cuminmoor::central
--- a/src/central/loading.cpp
+++ b/src/central/loading.cpp
@@ -281,8 +281,7 @@
     reading->is_whole = !e.has_more || e.rows.empty();
     if (!reading->is_whole) {
         page.note_page(e.rows.size(), c.now - reading->asked_at);
-        // Above the last key that was read, and below all others: keys have the same length.
-        reading->next_from = e.rows.back().key + '0';
+        reading->next_from = first_key_after(e.rows.back().key);
     }
     check_loading(c);
 }
--- a/src/central/page_size.cpp
+++ b/src/central/page_size.cpp
@@ -26,4 +26,10 @@
     rows_ = std::max(rows_ / config::page_cut, config::least_page_rows);
 }
 
+std::string first_key_after(const std::string& key)
+{
+    constexpr char lowest{'!'};
+    return key + lowest;
+}
+
 } // namespace cuminmoor::central
--- a/tests/test_central_loading.cpp
+++ b/tests/test_central_loading.cpp
@@ -138,3 +138,14 @@
     }
     cr_assert_eq(page.rows(), config::least_page_rows);
 }
+
+Test(central_loading, the_next_page_begins_with_the_next_key)
+{
+    const std::string last{"evacuate/accra"};
+    const std::string next = first_key_after(last);
+    cr_assert_lt(last, next);
+    for (const char* const longer :
+         {"evacuate/accra-east", "evacuate/accra.2", "evacuate/accra0"}) {
+        cr_assert_leq(next, std::string{longer});
+    }
+}
--- /dev/null
+++ b/tests/test_platform_store.cpp
@@ -0,0 +1,96 @@
+/// \file
+/// Following a table of the store when answers fail.
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include <asio/io_context.hpp>
+
+#include "asio_http_client.h"
+#include "line_log.h"
+#include "raw_http_server.h"
+#include "settings.h"
+#include "store.h"
+#include "system_clock.h"
+
+using namespace cuminmoor;
+using test::raw_http_server;
+using test::whole;
+
+namespace {
+
+struct null_sink final : io::central_sink {
+    void post(central::event /*e*/) override {}
+    central::call_handle next_handle() override { return {1}; }
+    [[nodiscard]] bool is_ready() const override { return true; }
+};
+
+/// A page with one row.
+test::reaction page_with(const std::string& key, bool has_more)
+{
+    return whole(R"j({"rows":[{"table":"servers","key":")j" + key +
+                 R"j(","row_version":3,"value":"eA=="}],"row_version":7,"has_more":)j" +
+                 (has_more ? "true}" : "false}"));
+}
+
+struct fixture {
+    explicit fixture(const std::string& address) { s.platform = address; }
+
+    io::system_clock clock;
+    io::settings s;
+    io::line_log log{clock, "vm", "fd"};
+    null_sink sink;
+    asio::io_context context{1};
+    std::unique_ptr<io::http_client> client{io::make_asio_http_client(context, clock, 4)};
+    /// The keys of each whole table that was delivered.
+    std::vector<std::vector<std::string>> tables;
+    platform::table_feed feed{io::deployment_parts{context, clock, *client, sink, log, s},
+                              central::table::runners,
+                              [this](bool is_whole, const std::vector<platform::store_row>& rows) {
+                                  if (is_whole) {
+                                      auto& keys = tables.emplace_back();
+                                      for (const platform::store_row& row : rows) {
+                                          keys.push_back(row.key);
+                                      }
+                                  }
+                              },
+                              [](bool /*reachable*/) {}};
+
+    void run_until_tables(std::size_t count)
+    {
+        const instant give_up = clock.now() + millis{2'000};
+        while (tables.size() < count && clock.now() < give_up) {
+            context.restart();
+            context.run_for(std::chrono::milliseconds{10});
+        }
+        cr_assert_eq(tables.size(), count);
+    }
+};
+
+} // namespace
+
+Test(platform_store, pages_that_came_are_not_read_again_when_a_later_one_fails)
+{
+    raw_http_server server{{page_with("a", true), whole("broken"), page_with("b", false)}};
+    fixture f{server.address()};
+    f.feed.start();
+    f.run_until_tables(1);
+    cr_assert_eq(f.tables[0], (std::vector<std::string>{"a", "b"}));
+}
+
+Test(platform_store, a_table_followed_anew_is_read_whole_also_after_a_failure)
+{
+    raw_http_server server{
+        {page_with("a", false), whole("broken"), whole("broken"), page_with("b", false)}};
+    fixture f{server.address()};
+    f.feed.start();
+    f.run_until_tables(1);
+    f.feed.stop();
+    f.feed.start();
+    f.run_until_tables(2);
+    cr_assert_eq(f.tables[1], std::vector<std::string>{"b"});
+}
