Answers to holds, orders and reads of an earlier term mean nothing to a later one

Callers could see a task run twice: a VM that lost the lease and won it again within seconds took the answer to an old hold for the proof that the runner knows the new term; an old answer could make it step down as well, and an old page stand for what is stored. Found by the review and by reading. Both new tests failed with the three checks taken out, and pass with them. Change: the ends of holds and orders carry the term of what they answer; a page must be as new as the claim.

--- a/include/cuminmoor/central/event.h
+++ b/include/cuminmoor/central/event.h
@@ -295,6 +295,8 @@
     std::uint32_t percent{100};
     /// The runner's clock, when it answered.
     std::optional<remote_instant> clock;
+    /// The order's.
+    term_number term;
 };
 
 /// Effect: extend the leases of all that runs there, acknowledge ends, ask what runs.
@@ -344,6 +346,8 @@
     std::int64_t started_at_ms{0};
     std::vector<reported_run> running;
     std::vector<reported_end> ended;
+    /// The hold's.
+    term_number term;
 };
 
 // ---- Process -------------------------------------------------------------------------------
--- a/src/central/loading.cpp
+++ b/src/central/loading.cpp
@@ -268,6 +268,11 @@
     if (reading == nullptr) {
         return;
     }
+    const bool is_older_than_claim = e.ok && e.as_of < c.s.scheduler.commits.head_version;
+    if (is_older_than_claim) {
+        // Asked for in an earlier term; others may have written since.
+        return;
+    }
     reading->in_flight = false;
     page_size& page = c.s.scheduler.loading.page;
     if (!e.ok) {
--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -148,7 +148,7 @@
 
 void on_order_ended(const context& c, const runner_order_ended& e)
 {
-    if (!c.is_scheduler()) {
+    if (!c.is_scheduler() || e.term != c.s.lease.term) {
         return;
     }
     runner_record* const r = find_runner(c, e.runner);
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -250,7 +250,8 @@
 {
     scheduler_state& s = c.s.scheduler;
     const auto found = s.runners.find(e.runner);
-    if (found == s.runners.end()) {
+    if (found == s.runners.end() || e.term != c.s.lease.term) {
+        // An earlier term's hold proves nothing: another holder may have been there since.
         return;
     }
     runner_record& r = found->second;
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -611,7 +611,8 @@
 {
     const std::size_t runner = index_of(order.runner);
     runner_order_ended ended{
-        order.kind, order.runner, order.task, order.run, order_result::unknown, order.percent, {}};
+        order.kind,    order.runner, order.task, order.run, order_result::unknown,
+        order.percent, {},           order.term};
     if (!can_reach(vm, runner)) {
         tell(vm, life, order_timeout, ended);
         return;
@@ -651,7 +652,7 @@
     if (is_lost) {
         tell(vm, life, order_timeout,
              runner_order_ended{
-                 e.kind, e.runner, e.task, e.run, order_result::unknown, e.percent, {}});
+                 e.kind, e.runner, e.task, e.run, order_result::unknown, e.percent, {}, e.term});
     }
 }
 
@@ -662,6 +663,7 @@
         if (!can_reach(vm, index_of(e.runner))) {
             runner_hold_ended failed;
             failed.runner = e.runner;
+            failed.term = e.term;
             tell(vm, life, e.timeout, failed);
             return;
         }
@@ -681,6 +683,7 @@
     if (!can_reach(h.vm, runner) || !is_same_life) {
         runner_hold_ended failed;
         failed.runner = h.hold.runner;
+        failed.term = h.hold.term;
         tell(h.vm, h.life, std::max(millis{0}, h.sent_at + h.hold.timeout - now_), failed);
         return;
     }
--- a/tests/central/fake_runner.cpp
+++ b/tests/central/fake_runner.cpp
@@ -76,6 +76,7 @@
 {
     advance(now);
     runner_hold_ended answer;
+    answer.term = hold.term;
     answer.runner = entry.id;
     answer.clock = clock(now);
     answer.started_at_ms = entry.started_at_ms;
--- a/tests/test_central_takeover.cpp
+++ b/tests/test_central_takeover.cpp
@@ -277,3 +277,45 @@
     h.give(rows_committed{commit_purpose::lease, 1, store_outcome::ok, 6});
     cr_assert(h.s.lease.now == role::claiming);
 }
+
+/// Found by the review: answers that come after the lease was lost and won again.
+Test(central_takeover, answers_to_holds_and_orders_of_an_earlier_term_prove_nothing)
+{
+    holder h;
+    h.s.lease.term.value = 3;
+    h.s.lease.row->term.value = 3;
+    const runner_id id{"r0"};
+    h.s.scheduler.runners[id].entry.id = id;
+    runner_hold_ended hold;
+    hold.runner = id;
+    hold.result = order_result::done;
+    hold.term.value = 1;
+    h.give(hold);
+    cr_assert_not(h.s.scheduler.runners.at(id).is_fenced);
+    hold.result = order_result::fenced;
+    h.give(hold);
+    cr_assert(h.s.lease.now == role::scheduler);
+    runner_order_ended order;
+    order.runner = id;
+    order.result = order_result::fenced;
+    order.term.value = 1;
+    h.give(order);
+    cr_assert(h.s.lease.now == role::scheduler);
+}
+
+Test(central_takeover, a_page_that_was_read_before_the_claim_is_not_used)
+{
+    holder h;
+    h.s.lease.now = role::loading;
+    h.s.scheduler.commits.head_version = 10;
+    h.s.scheduler.loading.progressed_at = h.now;
+    rows_read_done page;
+    page.where = table::jobs;
+    page.ok = true;
+    page.as_of = 9;
+    h.give(page);
+    cr_assert_not(h.s.scheduler.loading.jobs.is_whole);
+    page.as_of = 10;
+    h.give(page);
+    cr_assert(h.s.scheduler.loading.jobs.is_whole);
+}
