Pacing: the pause of leftover tasks counts from the last time the targets were met

A hold sent before services and leftover tasks met on a runner returns up to 2.0 s later, reports can be late, the next report and the order take 0.4 s: more than 4 s. Nothing bounded it while no report came, and a successor counted anew.

Now the time counts from the last report that showed all targets met (dated by the runner's clock, so that a late report is not taken for a new one) or from the start that brought both kinds of task together; 2.2 s later, or 2.4 s without any report, all leftover tasks are paused. A successor has no such report and pauses at the first one that shows a missed target. Two more faults on the way: adopted runs kept the pace that an earlier holder had ordered for ever, since the successor took them for unthrottled; and a task that works on in spite of its pause (an older order carried out late) is stopped.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -74,7 +74,7 @@
 inline constexpr millis hold_wait{2'000};
 /// The same for runners that host both services and leftover tasks.
 inline constexpr millis shared_runner_hold_wait{1'000};
-/// The same while a service there misses its target.
+/// The same while a service there is disturbed, or leftover tasks are paused.
 inline constexpr millis disturbed_runner_hold_wait{300};
 /// Timeout for the answer of a runner, in addition to the hold's wait.
 inline constexpr millis runner_timeout{2'000};
@@ -153,9 +153,17 @@
 /// this when a service counts as disturbed.
 inline constexpr double latency_rise_budget_cut{0.6};
 inline constexpr millis latency_rise_budget_period{400};
-/// All leftover tasks on a runner are paused when a service there has missed its target for this
-/// long.
-inline constexpr millis max_disturbance_time{1'600};
+/// All leftover tasks on a runner are paused when a service there is disturbed and this much time
+/// has passed since all services were last known to meet their targets. Users tolerate 4 s.
+inline constexpr millis max_disturbance_time{2'200};
+/// The same while no report says that a service misses its target, but the last one is this old.
+inline constexpr millis max_time_without_report{2'400};
+/// Time after a pace order after which the reported processor use shows whether it is in force.
+inline constexpr millis pace_check_delay{1'000};
+/// Processor use of a paused task, in percent of its request, above which it is not in fact paused.
+inline constexpr std::int64_t paused_cpu_use_percent{30};
+/// Processor use of a task, in percent of its request, above which it is evidently not throttled.
+inline constexpr std::int64_t unthrottled_cpu_use_percent{50};
 /// An antagonist only starts where its expected share of full speed is at least this.
 inline constexpr double min_antagonist_pace_share{0.5};
 /// Smaller changes of pace, in percent of full speed, are not ordered.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -53,6 +53,12 @@
     stopping,
 };
 
+/// Pace of a run whose last pace order was not confirmed, or was given by an earlier holder of the
+/// lease.
+inline constexpr std::uint32_t unknown_pace{UINT32_MAX};
+/// Pace of a run that is not throttled, in percent.
+inline constexpr std::uint32_t full_pace{100};
+
 /// One start of a task on a runner, from the start order until the run has certainly ended.
 struct run {
     runner_id runner;
@@ -74,8 +80,9 @@
     /// Number of the last hold sent before the start was confirmed; 0: not confirmed. The report of
     /// a later hold must list the run.
     std::uint64_t start_confirmed_at_hold{0};
-    /// Pace last ordered, in percent of full speed.
-    std::uint32_t pace{100};
+    /// Pace last ordered, in percent of full speed, or `unknown_pace`.
+    std::uint32_t pace{full_pace};
+    instant paced_at;
     /// See `reported_run::load`.
     std::int64_t load{0};
     /// Completed share of its work, in percent.
@@ -205,6 +212,8 @@
     /// It has answered a hold of this term, so it rejects orders of earlier terms.
     bool is_fenced{false};
     std::optional<clock_sample> clock;
+    /// The clock in its last report, and when it was shown at the latest, see `report_shown_at`.
+    std::optional<clock_sample> report_clock;
     /// Local time by which all leases on the runner have expired at the latest.
     instant leases_expire_by;
     /// Resources reserved for its runs; excludes the processor time of leftover tasks.
@@ -249,11 +258,18 @@
     instant avoided_until;
 
     /// Pace of its antagonists and of its benign leftover tasks, in percent of full speed.
-    std::uint32_t antagonist_pace{100};
-    std::uint32_t benign_pace{100};
+    std::uint32_t antagonist_pace{full_pace};
+    std::uint32_t benign_pace{full_pace};
     instant latency_rise_budget_changed_at;
-    /// Since when a service on it has missed its target; empty while none does.
-    std::optional<instant> disturbed_since;
+    /// Highest tail latency of its services in the last report, in percent of their target.
+    std::int64_t latency_percent{0};
+    /// A service there missed its target in the last report, or nearly so.
+    bool is_disturbed{false};
+    /// Latest time at which all its services certainly met their targets, or no leftover task ran
+    /// beside them; empty while this holder of the lease has no evidence of such a time.
+    std::optional<instant> targets_met_at;
+    /// All leftover tasks are paused, as a service misses its target for too long or may do so.
+    bool is_paused{false};
 };
 
 /// Estimate of whether tasks of one image disturb services of another, learned from reports.
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -235,7 +235,15 @@
 void update_expected_disturbance(const context& c, runner_record& r);
 
 // ---- pacing.cpp
-/// Adjusts the runner's latency rise budget and orders the paces of its leftover tasks.
+/// \return true if the runner hosts both services and leftover tasks, which may disturb them.
+bool hosts_services_and_leftover(const runner_record& r);
+/// Updates, from the latest report, whether services on the runner meet their targets, and how much
+/// latency rise its leftover tasks may cause.
+/// \param shown_at time of the state that the report shows.
+void observe_latency(const context& c, runner_record& r, instant shown_at);
+/// Orders the paces of the runner's leftover tasks.
 void pace_runner(const context& c, runner_record& r);
+/// Pauses the leftover tasks if reports about the runner's services are overdue.
+void pause_if_reports_are_overdue(const context& c, runner_record& r);
 
 } // namespace cuminmoor::central
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -78,7 +78,7 @@
     }
     const bool meets_disturbance_limit =
         requirement != runner_requirement::benign || !is_antagonist(c.s, r, ref);
-    return has_memory && r.benign_pace == 100 && spare_milli_cores(r) >= min_milli_cores &&
+    return has_memory && r.benign_pace == full_pace && spare_milli_cores(r) >= min_milli_cores &&
            meets_disturbance_limit && is_within_latency_rise_budget(c, r, ref);
 }
 
--- a/src/central/relocation.cpp
+++ b/src/central/relocation.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-constexpr double full_speed{100};
-
 /// A task to relocate and a runner with capacity for it.
 struct relocation {
     graph_task_id task;
@@ -17,7 +15,7 @@
 
 bool is_throttled(const runner_record& r)
 {
-    return r.is_responsive && (r.antagonist_pace < full_speed || r.benign_pace < full_speed);
+    return r.is_responsive && (r.antagonist_pace < full_pace || r.benign_pace < full_pace);
 }
 
 bool is_relocatable(const context& c, const task_ref& ref)
@@ -26,7 +24,7 @@
         return false;
     }
     const run& r = *ref.task->current_run;
-    return r.phase == run_phase::running && !r.stop_in_flight && r.pace < full_speed &&
+    return r.phase == run_phase::running && !r.stop_in_flight && r.pace < full_pace &&
            c.now - r.ordered_at >= config::min_run_age_to_relocate;
 }
 
@@ -56,11 +54,12 @@
 bool is_relocation_worthwhile(const graph_step& step, const run& r)
 {
     const auto total_time = static_cast<double>(step.run_time.count);
-    const double remaining_time = total_time * (full_speed - r.progress) / full_speed;
+    const double remaining_time =
+        total_time * (static_cast<double>(full_pace) - r.progress) / full_pace;
     const double time_after_move = (step.saves_checkpoints ? remaining_time : total_time) +
                                    static_cast<double>(config::relocation_cost.count);
     // Remaining time at the current pace, multiplied out because the pace may be zero.
-    return remaining_time * full_speed > config::min_relocation_speedup * time_after_move * r.pace;
+    return remaining_time * full_pace > config::min_relocation_speedup * time_after_move * r.pace;
 }
 
 void relocate_throttled_tasks(const context& c)
--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -139,8 +139,8 @@
 {
     const task_ref ref = find_task(c.s, e.task);
     if (is_current_run(ref, e.runner, e.run) && e.result != order_result::done) {
-        // Either pace may be in force. The invalid value makes the next report repeat the order.
-        ref.task->current_run->pace = UINT32_MAX;
+        // Either pace may be in force; the next report repeats the order.
+        ref.task->current_run->pace = unknown_pace;
     }
 }
 
--- a/src/central/run_reports.cpp
+++ b/src/central/run_reports.cpp
@@ -106,8 +106,11 @@
     adopted.phase = run_phase::running;
     adopted.ordered_at = c.now;
     adopted.start_confirmed_at_hold = r.holds_sent;
+    adopted.pace = unknown_pace;
     ref.task->last_run = std::max(ref.task->last_run, reported.run);
     attach_run(ref, r, reported.task, adopted);
+    // Nobody can tell how long services have missed their targets beside it.
+    r.targets_met_at.reset();
     mark_job_started(c, *ref.job);
     log_run(c, "run_adopted", reported.task, adopted, "running");
     return true;
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -20,20 +20,32 @@
            config::lease_expiry_margin;
 }
 
-/// \return true if the runner hosts both services and leftover tasks, which may disturb them.
-bool needs_latency_monitoring(const runner_record& r)
+/// \return how long the runner may keep a hold open.
+millis wait_for_end(const runner_record& r)
 {
-    return r.service_milli_cores > 0 && r.leftover_milli_cores > 0;
+    if (!hosts_services_and_leftover(r)) {
+        return config::hold_wait;
+    }
+    return r.is_disturbed || r.is_paused ? config::disturbed_runner_hold_wait
+                                         : config::shared_runner_hold_wait;
+}
+
+/// \return the latest time at which the state in a report can have been current. On the runner's
+/// clock, a delayed report is only as much newer than the one before as it really is.
+instant report_shown_at(const context& c, const runner_record& r, remote_instant clock)
+{
+    if (!r.report_clock || clock < r.report_clock->shown) {
+        return c.now;
+    }
+    const millis passed{clock.ms - r.report_clock->shown.ms};
+    return std::min(c.now, r.report_clock->seen_at + passed * 100 / config::slow_clock_percent);
 }
 
 void send_hold(const context& c, runner_record& r)
 {
     const bool waits_for_store = r.acknowledged < r.last_processed_end;
-    const millis shared_wait =
-        r.disturbed_since ? config::disturbed_runner_hold_wait : config::shared_runner_hold_wait;
-    const millis wait_for_end = needs_latency_monitoring(r) ? shared_wait : config::hold_wait;
     const bool has_current_clock = r.clock.has_value() && r.is_responsive;
-    const millis wait = waits_for_store || !has_current_clock ? millis{0} : wait_for_end;
+    const millis wait = waits_for_store || !has_current_clock ? millis{0} : wait_for_end(r);
     // After a failed hold, only ask for a report. Extending leases would postpone their computed
     // expiry although the runner may be gone, and a restarted runner numbers its ends from 1 again,
     // so an old acknowledgement would match new ends.
@@ -58,8 +70,11 @@
     r.acknowledgement_delivered = 0;
     r.acknowledgement_sent = 0;
     r.last_processed_end_change = 0;
-    r.antagonist_pace = 100;
-    r.benign_pace = 100;
+    r.antagonist_pace = full_pace;
+    r.benign_pace = full_pace;
+    r.report_clock.reset();
+    r.is_disturbed = false;
+    r.is_paused = false;
     r.leases_expire_by = c.now + longest_lease(c.s);
 }
 
@@ -123,6 +138,9 @@
     process_reported_runs(c, r, e.running);
     learn_disturbance(c, r);
     update_expected_disturbance(c, r);
+    const instant shown_at = report_shown_at(c, r, e.clock);
+    r.report_clock = clock_sample{e.clock, shown_at};
+    observe_latency(c, r, shown_at);
     pace_runner(c, r);
     if (r.entry.draining) {
         evict_from_draining_runner(c, r);
@@ -309,6 +327,7 @@
         runner_record& r = it->second;
         drop_runs_with_expired_leases(c, r);
         retry_failed_stops(c, r);
+        pause_if_reports_are_overdue(c, r);
         if (!c.s.scheduler.recovering && can_remove_runner(r, c.s.lease.renewed_at)) {
             log_runner(c, "runner_forgotten", r, "");
             if (r.stored) {
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -152,7 +152,11 @@
     ref.task->current_run = started;
     ref.task->is_reconciled = true;
     ++ref.job->active_runs;
+    const bool was_shared = hosts_services_and_leftover(r);
     reserve_for_run(r, ref, id);
+    if (!was_shared && hosts_services_and_leftover(r)) {
+        r.targets_met_at = started.ordered_at;
+    }
 }
 
 void detach_run(const context& c, const task_ref& ref, runner_record* r, const graph_task_id& id)
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -701,7 +701,8 @@
     // Its acknowledgement was applied when it arrived.
     runner_hold question = h.hold;
     question.acknowledged = 0;
-    schedule_event(h.vm, h.incarnation, network_time, runners_[runner].handle(question, now_));
+    schedule_event(h.vm, h.incarnation, network_time + faults.report_delay,
+                   runners_[runner].handle(question, now_));
 }
 
 void central_world::answer_due_holds()
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -42,6 +42,8 @@
     /// Bandwidth of a VM's link for pages; 0: no limit. Concurrent pages are transferred one after
     /// the other, and a page that exceeds its timeout is lost.
     std::size_t link_bytes_per_ms{0};
+    /// Delay of the runners' reports on their way to a VM.
+    millis report_delay{0};
     /// Share of orders to runners that are executed but not answered.
     double lost_orders{0};
     /// Share of orders that are executed seconds late and not answered.
@@ -123,6 +125,7 @@
     [[nodiscard]] std::size_t rows_read_by(std::size_t vm) const { return vms_[vm].rows_read; }
     [[nodiscard]] std::size_t pages_lost(std::size_t vm) const { return vms_[vm].pages_lost; }
     [[nodiscard]] fake_runner& runner(std::size_t i) { return runners_[i]; }
+    [[nodiscard]] std::size_t runners() const { return runners_.size(); }
     /// Jobs whose tasks always fail.
     std::set<std::string> failing_jobs;
     /// Longest time so far from the end of a task to the start of a dependent one.
--- a/tests/central/disturbance_bench.h
+++ b/tests/central/disturbance_bench.h
@@ -48,6 +48,16 @@
         return r;
     }
 
+    /// Processes a report of the runner with the loads of its runs.
+    void report(runner_record& r)
+    {
+        const context c = make_context();
+        learn_disturbance(c, r);
+        update_expected_disturbance(c, r);
+        observe_latency(c, r, now);
+        pace_runner(c, r);
+    }
+
     void add_run(runner_record& r, const std::string& job, std::int64_t load)
     {
         const graph_task_id id{{job}, 0, 0, 0};
@@ -56,6 +66,7 @@
         started.runner = r.entry.id;
         started.number = {1};
         started.phase = run_phase::running;
+        started.ordered_at = now;
         started.load = load;
         place.task->status = task_status::active;
         attach_run(place, r, id, started);
--- a/tests/central/fake_runner.cpp
+++ b/tests/central/fake_runner.cpp
@@ -55,6 +55,9 @@
         return order_result::done;
     }
     if (order.kind == order_kind::pace) {
+        if (found != running.end() && found->second.number == order.run) {
+            found->second.pace = order.percent;
+        }
         return order_result::done;
     }
     const instant until = started_at + millis{order.lease_until.ms - 1};
@@ -98,7 +101,7 @@
     });
     answer.result = order_result::done;
     for (const auto& [task, r] : running) {
-        answer.running.push_back({task, r.number, "", 100, 0});
+        answer.running.push_back({task, r.number, "", 100, load_of ? load_of(task) : 0});
     }
     answer.ended = unacknowledged_ends_;
     return answer;
--- a/tests/central/fake_runner.h
+++ b/tests/central/fake_runner.h
@@ -33,6 +33,8 @@
         run_number number;
         instant ends_at;
         task_behaviour behaviour;
+        /// In percent of full speed. Does not change when the run ends.
+        std::uint32_t pace{100};
     };
 
     /// Advances the runner to `now`: ends runs that complete and runs whose lease expires.
@@ -57,6 +59,8 @@
     std::function<void(const graph_task_id&, run_number, end_cause, instant)> on_end;
     /// Called for each end that is acknowledged.
     std::function<void(const reported_end&)> on_acknowledged;
+    /// Reported load of a run, see `reported_run::load`; 0 if not set.
+    std::function<std::int64_t(const graph_task_id&)> load_of;
 
 private:
     void end(const graph_task_id& task, end_cause cause, instant at);
--- a/tests/test_central_disturbance.cpp
+++ b/tests/test_central_disturbance.cpp
@@ -59,9 +59,7 @@
     b.add_run(r, "disturbed", 300);
     b.add_run(r, "batch", 6'000);
     for (int i{0}; i < 8; ++i) {
-        learn_disturbance(b.make_context(), r);
-        update_expected_disturbance(b.make_context(), r);
-        pace_runner(b.make_context(), r);
+        b.report(r);
         b.now = b.now + millis{300};
     }
     cr_assert_eq(r.antagonist_pace, 0);
@@ -75,7 +73,7 @@
     find_task(b.s, {{"disturbed"}, 0, 0, 0}).task->current_run->load = 40;
     find_task(b.s, {{"batch"}, 0, 0, 0}).task->current_run->load = 0;
     for (int i{0}; i < 40; ++i) {
-        pace_runner(b.make_context(), r);
+        b.report(r);
         b.now = b.now + millis{400};
     }
     cr_assert_gt(r.antagonist_pace, 20);
--- a/tests/test_central_relocation.cpp
+++ b/tests/test_central_relocation.cpp
@@ -29,9 +29,7 @@
         add_run(r2, "batch2", 6'000);
         for (int i{0}; i < 8; ++i) {
             learn_disturbance(make_context(), r1);
-            learn_disturbance(make_context(), r2);
-            update_expected_disturbance(make_context(), r2);
-            pace_runner(make_context(), r2);
+            report(r2);
             now = now + millis{300};
         }
         s.lease.renewed_at = now;
