Rows and peers' calls: malformed ones neither end the process nor exhaust its memory

Cause: cereal allocates as many elements as the data claims to hold, so a row or a peer's call of a few bytes could take gigabytes on a VM of 160 MB; a submission without a job was dereferenced; the steps of a job from a peer or the store were indexed by dependencies that nobody had checked, and its numbers of tasks and occurrences were not limited; unknown states were taken as they came.

--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -11,6 +11,8 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
+#include "absl/strings/str_cat.h"
+#include "bounded_load.h"
 #include "cuminmoor/central/peer_codec.h"
 
 // cereal finds these functions by argument-dependent lookup.
@@ -178,6 +180,44 @@
     }
 }
 
+absl::Status check_step(const graph_step& step, std::size_t index)
+{
+    if (step.tasks == 0 || step.tasks > config::max_tasks_per_step) {
+        return absl::InvalidArgumentError(
+            absl::StrCat("step ", index, " has ", step.tasks, " tasks"));
+    }
+    for (const std::uint32_t earlier : step.after) {
+        if (earlier >= index) {
+            return absl::InvalidArgumentError(
+                absl::StrCat("step ", index, " depends on step ", earlier));
+        }
+    }
+    return absl::OkStatus();
+}
+
+/// Checks what the scheduler relies on. Jobs from callers were checked when they were parsed.
+absl::Status check_job(const graph_job& job)
+{
+    if (job.steps.empty() || job.steps.size() > config::max_steps) {
+        return absl::InvalidArgumentError(absl::StrCat("job has ", job.steps.size(), " steps"));
+    }
+    if (job.repeats.count > config::max_occurrences) {
+        return absl::InvalidArgumentError(
+            absl::StrCat("job has ", job.repeats.count, " occurrences"));
+    }
+    for (std::size_t i{0}; i < job.steps.size(); ++i) {
+        if (auto fault = check_step(job.steps[i], i); !fault.ok()) {
+            return fault;
+        }
+    }
+    return absl::OkStatus();
+}
+
+bool is_job_state(job_state state)
+{
+    return state <= job_state::cancelled;
+}
+
 } // namespace
 
 std::string encode_head(const head_row& row)
@@ -217,7 +257,13 @@
 
 absl::StatusOr<stored_job> decode_stored_job(const std::string& text)
 {
-    return decode<stored_job>(text, "job");
+    auto job = decode<stored_job>(text, "job");
+    if (job.ok()) {
+        if (auto fault = check_job(job->spec); !fault.ok()) {
+            return fault;
+        }
+    }
+    return job;
 }
 
 std::string encode_runner(const runner_entry& runner)
@@ -267,7 +313,11 @@
 
 absl::StatusOr<stored_progress> decode_progress(const std::string& text)
 {
-    return decode<stored_progress>(text, "job progress");
+    auto progress = decode<stored_progress>(text, "job progress");
+    if (progress.ok() && !is_job_state(progress->state)) {
+        return absl::InvalidArgumentError("job progress: unknown state");
+    }
+    return progress;
 }
 
 std::string encode_call(const job_call& call)
@@ -277,7 +327,20 @@
 
 absl::StatusOr<job_call> decode_call(const std::string& text)
 {
-    return decode<job_call>(text, "peer call");
+    auto call = decode<job_call>(text, "peer call");
+    if (!call.ok()) {
+        return call;
+    }
+    const bool is_submission = call->kind == call_kind::submit;
+    if (call->kind > call_kind::count_pending || is_submission != call->submitted.has_value()) {
+        return absl::InvalidArgumentError("peer call: kind and content do not match");
+    }
+    if (is_submission) {
+        if (auto fault = check_job(*call->submitted); !fault.ok()) {
+            return fault;
+        }
+    }
+    return call;
 }
 
 std::string encode_answer(const call_answer& answer)
@@ -287,7 +350,12 @@
 
 absl::StatusOr<call_answer> decode_answer(const std::string& text)
 {
-    return decode<call_answer>(text, "peer answer");
+    auto answer = decode<call_answer>(text, "peer answer");
+    if (answer.ok() &&
+        (answer->result > call_result::not_scheduler || !is_job_state(answer->state))) {
+        return absl::InvalidArgumentError("peer answer: unknown result or state");
+    }
+    return answer;
 }
 
 } // namespace cuminmoor::central
--- /dev/null
+++ b/tests/test_central_codec.cpp
@@ -0,0 +1,146 @@
+/// \file
+/// Malformed rows and messages are rejected with an error: they neither end the process nor make it
+/// allocate memory for data that is not there.
+#include <cstdint>
+#include <cstring>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <sys/resource.h>
+
+#include "central/codec.h"
+#include "cuminmoor/central/peer_codec.h"
+#include "wire.h"
+
+using namespace cuminmoor;
+using namespace cuminmoor::central;
+
+namespace {
+
+/// Bytes of the archive's head and of a count.
+constexpr std::size_t head_bytes{1};
+constexpr std::size_t count_bytes{8};
+constexpr std::int64_t max_growth_kib{64 * 1'024};
+
+graph_job make_job()
+{
+    graph_job job;
+    job.id.value = "0000000000000001";
+    job.payload = "work";
+    job.steps.resize(2);
+    job.steps[1].after = {0};
+    return job;
+}
+
+job_call make_submission()
+{
+    job_call call;
+    call.kind = call_kind::submit;
+    call.job.value = "0000000000000001";
+    call.submitted = make_job();
+    return call;
+}
+
+std::int64_t peak_memory_kib()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss;
+}
+
+std::string with_count(std::string text, std::size_t offset, std::uint64_t count)
+{
+    std::memcpy(text.data() + offset, &count, count_bytes);
+    return text;
+}
+
+} // namespace
+
+/// A row of a few bytes that claims millions of steps must not exhaust the VM's memory.
+Test(central_codec, false_counts_allocate_nothing)
+{
+    constexpr std::uint64_t steps{1U << 22U};
+    constexpr std::uint64_t text_bytes{1U << 30U};
+    // Behind the head: the counts of three empty texts, then that of the steps.
+    const std::string job =
+        with_count(encode_job(stored_job{}), head_bytes + 3 * count_bytes, steps);
+    const std::string lease = with_count(encode_lease(lease_row{}), head_bytes, text_bytes);
+    const std::int64_t before = peak_memory_kib();
+    cr_assert_not(decode_stored_job(job).ok());
+    cr_assert_not(decode_lease(lease).ok());
+    cr_assert_lt(peak_memory_kib() - before, max_growth_kib);
+}
+
+Test(central_codec, every_truncation_is_rejected)
+{
+    stored_job row;
+    row.spec = make_job();
+    const std::string job = encode_job(row);
+    const std::string call = encode_call(make_submission());
+    const std::string answer = encode_answer({});
+    cr_assert(decode_stored_job(job).ok());
+    cr_assert(decode_call(call).ok());
+    cr_assert(decode_answer(answer).ok());
+    for (std::size_t n{0}; n < job.size(); ++n) {
+        cr_assert_not(decode_stored_job(job.substr(0, n)).ok());
+    }
+    for (std::size_t n{0}; n < call.size(); ++n) {
+        cr_assert_not(decode_call(call.substr(0, n)).ok());
+    }
+    for (std::size_t n{0}; n < answer.size(); ++n) {
+        cr_assert_not(decode_answer(answer.substr(0, n)).ok());
+    }
+}
+
+/// The scheduler dereferences the job of a submission and indexes steps by their dependencies.
+Test(central_codec, calls_that_the_scheduler_cannot_handle_are_rejected)
+{
+    const std::vector<std::function<void(job_call&)>> faults{
+        [](job_call& c) { c.submitted.reset(); },
+        [](job_call& c) { c.kind = call_kind::query; },
+        [](job_call& c) { c.kind = static_cast<call_kind>(9); },
+        [](job_call& c) { c.submitted->steps.clear(); },
+        [](job_call& c) { c.submitted->steps[0].tasks = 0; },
+        [](job_call& c) { c.submitted->steps[0].tasks = UINT32_MAX; },
+        [](job_call& c) { c.submitted->steps[1].after = {1}; },
+        [](job_call& c) { c.submitted->steps[1].after = {70'000}; },
+        [](job_call& c) { c.submitted->repeats.count = UINT32_MAX; },
+    };
+    for (const auto& fault : faults) {
+        job_call call = make_submission();
+        fault(call);
+        cr_assert_not(decode_call(encode_call(call)).ok());
+    }
+}
+
+Test(central_codec, rows_with_unknown_states_are_rejected)
+{
+    job_record job;
+    job.state = static_cast<job_state>(77);
+    cr_assert_not(decode_progress(encode_progress(job)).ok());
+    call_answer answer;
+    answer.result = static_cast<call_result>(77);
+    cr_assert_not(decode_answer(encode_answer(answer)).ok());
+}
+
+Test(central_codec, deeply_nested_json_is_rejected)
+{
+    constexpr std::size_t depth{200'000};
+    std::string objects;
+    for (std::size_t i{0}; i < depth; ++i) {
+        objects += R"({"steps":)";
+    }
+    for (const std::string& text : {std::string(depth, '['), objects}) {
+        cr_assert_not(platform::parse_job(text).ok());
+        cr_assert_not(platform::parse_manifest(text).ok());
+        cr_assert_not(platform::parse_store_page(text).ok());
+        cr_assert_not(platform::parse_commit_response(text).ok());
+        cr_assert_not(platform::parse_order_response(text).ok());
+        cr_assert_not(platform::parse_hold_response(text).ok());
+        cr_assert_not(platform::parse_registry_entry("r", text).ok());
+    }
+    const std::string closed = std::string(depth, '[') + std::string(depth, ']');
+    cr_assert_not(platform::parse_job(R"({"steps":)" + closed + "}").ok());
+}
