--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -175,6 +175,15 @@
 void central_world::deliver_event(std::size_t vm, const event& e)
 {
     auto& v = vms_[vm];
+    if (v.paused_until > now_) {
+        schedule(v.paused_until, [this, vm, incarnation = v.incarnation, e] {
+            if (vms_[vm].is_up && vms_[vm].incarnation == incarnation) {
+                deliver_event(vm, e);
+            }
+        });
+        v.next_tick = v.paused_until;
+        return;
+    }
     const effects out = reduce(v.state, e, now_, wall_clock_at(now_));
     for (const effect& each : out) {
         execute(vm, each);
@@ -645,7 +654,20 @@
 
 void central_world::execute(std::size_t vm, const runner_order& e)
 {
-    const std::uint64_t incarnation = vms_[vm].incarnation;
+    entry_vm& v = vms_[vm];
+    const std::uint64_t incarnation = v.incarnation;
+    if (e.kind == order_kind::start && v.pause_at_next_start.count > 0) {
+        v.paused_until = now_ + v.pause_at_next_start;
+        v.pause_at_next_start = {0};
+    }
+    if (v.paused_until > now_) {
+        schedule(v.paused_until, [this, vm, e, incarnation] {
+            if (vms_[vm].is_up && vms_[vm].incarnation == incarnation) {
+                execute(vm, e);
+            }
+        });
+        return;
+    }
     const bool is_late = chance(faults.late_orders);
     const bool is_lost = is_late || chance(faults.lost_orders);
     constexpr std::int64_t longest_delay_ms{9'000};
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -100,6 +100,10 @@
     void kill(std::size_t vm);
     void restart(std::size_t vm);
     void stop_gracefully(std::size_t vm);
+    /// Pauses a VM's process when it is about to send its next start order. This order and those
+    /// behind it are sent when the process resumes, and what arrived meanwhile is processed then.
+    void pause_at_next_start(std::size_t vm, millis time) { vms_[vm].pause_at_next_start = time; }
+    [[nodiscard]] bool is_paused(std::size_t vm) const { return vms_[vm].paused_until > now_; }
     [[nodiscard]] bool is_up(std::size_t vm) const { return vms_[vm].is_up; }
     [[nodiscard]] bool is_flushing(std::size_t vm) const { return vms_[vm].is_flushing; }
     void crash_runner(std::size_t runner);
@@ -146,6 +150,9 @@
         std::uint64_t incarnation{0};
         instant next_tick;
         bool store_was_reachable{false};
+        /// See `pause_at_next_start`; 0: no pause is due.
+        millis pause_at_next_start{0};
+        instant paused_until;
         /// When the link has transferred all queued pages.
         instant link_free_at;
         /// Rows read and pages lost, over all incarnations.
