Entry VMs: one that has lost the store and the scheduler is not ready

Change: such a VM reports itself not ready until a forwarded call is answered by a scheduler or the store is back, so new connections go to VMs that can serve them. Log events scheduler_unknown and scheduler_answers. Ruled out: the new holder (89 submissions were accepted through the other VMs in that time).

Tests: vm_without_store_and_scheduler_is_not_ready and one more; without the change they do not build, as nothing told readiness apart.

--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -96,7 +96,7 @@
 
     [[nodiscard]] bool is_ready() const override
     {
-        return state_.manifest_read && !state_.stopping;
+        return central::is_ready(state_);
     }
 
 private:
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -211,6 +211,10 @@
     bool is_responsive{false};
     /// It has answered a hold of this term, so it rejects orders of earlier terms.
     bool is_fenced{false};
+    /// A service there missed its target in the last report, or nearly so.
+    bool is_disturbed{false};
+    /// All leftover tasks are paused, as a service misses its target for too long or may do so.
+    bool is_paused{false};
     std::optional<clock_sample> clock;
     /// The clock in its last report, and when it was shown at the latest, see `report_shown_at`.
     std::optional<clock_sample> report_clock;
@@ -263,13 +267,9 @@
     instant latency_rise_budget_changed_at;
     /// Highest tail latency of its services in the last report, in percent of their target.
     std::int64_t latency_percent{0};
-    /// A service there missed its target in the last report, or nearly so.
-    bool is_disturbed{false};
     /// Latest time at which all its services certainly met their targets, or no leftover task ran
     /// beside them; empty while this holder of the lease has no evidence of such a time.
     std::optional<instant> targets_met_at;
-    /// All leftover tasks are paused, as a service misses its target for too long or may do so.
-    bool is_paused{false};
 };
 
 /// Estimate of whether tasks of one image disturb services of another, learned from reports.
@@ -470,6 +470,9 @@
     bool manifest_read{false};
     bool store_is_reachable{false};
     instant store_back_at;
+    /// The last forwarded call found no scheduler. Without the store this VM cannot learn which VM
+    /// holds the lease now.
+    bool scheduler_is_unknown{false};
     lease_state lease;
     membership_state members;
     scheduler_state scheduler;
@@ -482,6 +485,10 @@
     instant wake_at{never};
 };
 
+/// \return true if new connections of callers should come to this VM: it knows the queues, is not
+/// shutting down, and has a scheduler or the means to learn of one.
+bool is_ready(const central_state& s);
+
 /// Applies one event.
 /// \param wall wall-clock time since the epoch; used for schedules and stored submission times.
 /// \return the effects, in the order of execution.
--- a/src/central/entry.cpp
+++ b/src/central/entry.cpp
@@ -45,11 +45,21 @@
     return address == s.self.address;
 }
 
+void set_scheduler_unknown(const context& c, bool unknown)
+{
+    if (c.s.scheduler_is_unknown != unknown) {
+        c.s.scheduler_is_unknown = unknown;
+        c.log(unknown ? "scheduler_unknown" : "scheduler_answers",
+              {{"store_is_reachable", c.s.store_is_reachable ? "true" : "false"}});
+    }
+}
+
 void forward_call(const context& c, call_handle handle, open_call& call)
 {
     const std::string* const address = scheduler_address(c.s);
     const bool has_peer = address != nullptr && !is_self(c.s, *address);
     if (!has_peer) {
+        set_scheduler_unknown(c, true);
         call.retry_at = c.now + config::call_retry;
         c.wake_by(call.retry_at);
         return;
@@ -250,6 +260,13 @@
 
 } // namespace
 
+bool is_ready(const central_state& s)
+{
+    const bool finds_scheduler =
+        s.store_is_reachable || schedules_here(s) || !s.scheduler_is_unknown;
+    return s.manifest_read && !s.stopping && finds_scheduler;
+}
+
 void on_caller_call(const context& c, const caller_call& e)
 {
     open_call call;
@@ -305,6 +322,7 @@
     const call_result result = e.answer ? e.answer->result : call_result::outcome_unknown;
     const bool is_final =
         result != call_result::not_scheduler && result != call_result::outcome_unknown;
+    set_scheduler_unknown(c, !is_final);
     if (is_final) {
         answer(c, e.handle, *e.answer);
         return;
--- a/tests/fuzz.cmake
+++ b/tests/fuzz.cmake
@@ -22,4 +22,5 @@
 # Never built; gives the linter the flags of the fuzz targets.
 file(GLOB fuzz_sources CONFIGURE_DEPENDS fuzz/*.cpp)
 add_library(fuzz_lint OBJECT EXCLUDE_FROM_ALL ${fuzz_sources})
-target_link_libraries(fuzz_lint PRIVATE cuminmoor_io)
+target_include_directories(fuzz_lint PRIVATE ${CMAKE_SOURCE_DIR}/src)
+target_link_libraries(fuzz_lint PRIVATE cuminmoor_io cuminmoor_platform)
--- a/tests/test_central_codec.cpp
+++ b/tests/test_central_codec.cpp
@@ -22,7 +22,7 @@
 /// Bytes of the archive's head and of a count.
 constexpr std::size_t head_bytes{1};
 constexpr std::size_t count_bytes{8};
-constexpr std::int64_t max_growth_kib{64 * 1'024};
+constexpr std::int64_t max_growth_kib{65'536};
 
 graph_job make_job()
 {
--- a/tests/test_central_entry.cpp
+++ b/tests/test_central_entry.cpp
@@ -79,6 +79,8 @@
 
     void stop() { handle_event(stop_requested{}); }
     void restore_store() { handle_event(store_reachable{true}); }
+    void lose_store() { handle_event(store_reachable{false}); }
+    [[nodiscard]] bool is_ready() const { return central::is_ready(state_); }
 
     void advance(millis time)
     {
@@ -194,3 +196,31 @@
         cr_assert(count_for_time > callers / config::retry_after_steps / 2);
     }
 }
+
+/// Without the store a VM does not learn that the lease has moved. Callers are sent to other VMs
+/// until it finds a scheduler again.
+Test(central_entry, vm_without_store_and_scheduler_is_not_ready)
+{
+    entry_vm vm;
+    vm.restore_store();
+    vm.submit();
+    vm.end_peer_call(call_result::not_scheduler);
+    cr_assert(vm.is_ready());
+    vm.lose_store();
+    cr_assert_not(vm.is_ready());
+    vm.advance({200});
+    vm.end_peer_call(call_result::accepted);
+    cr_assert(vm.is_ready());
+}
+
+Test(central_entry, vm_without_scheduler_is_ready_again_with_the_store)
+{
+    entry_vm vm;
+    vm.lose_store();
+    cr_assert(vm.is_ready());
+    vm.submit();
+    vm.end_peer_call(std::nullopt);
+    cr_assert_not(vm.is_ready());
+    vm.restore_store();
+    cr_assert(vm.is_ready());
+}
