Takeover: a VM that restarts into its own lease waits for the run leases only

The predecessor was its own earlier process.

Change: after a predecessor whose process has ended or that released the lease only the run leases (6.2 s) are waited for, if the lease row says that it had recovered: otherwise one before it may still extend leases. The row has a new field at its end; rows without it are read as not recovered, and earlier versions ignore it.

Tests: services_of_lost_runner_restart_soon_after_the_holder_restarts fails without the change; restart_during_recovery_still_waits_for_the_holder_before finds two runs at once if the new field is ignored; lease_row_of_an_earlier_version_is_read. Not changed: after a holder on another VM was lost the wait is 12.2 s as before.

--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -94,10 +94,7 @@
 
     central::call_handle next_handle() override { return {++last_handle_}; }
 
-    [[nodiscard]] bool is_ready() const override
-    {
-        return central::is_ready(state_);
-    }
+    [[nodiscard]] bool is_ready() const override { return central::is_ready(state_); }
 
 private:
     void process_queue()
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -301,6 +301,8 @@
     term_number term;
     /// The holder released the lease: it may be claimed without waiting for its expiry.
     bool released{false};
+    /// The holder has completed its recovery: no run lease of an earlier holder is valid any more.
+    bool recovered{false};
 };
 
 enum class role : std::uint8_t {
@@ -322,8 +324,8 @@
     /// When the row's current version was first seen. Moved forward when the store becomes
     /// reachable again, to give the holder time to renew.
     instant seen_at;
-    /// When the last row version of the previous holder was first seen: it has not renewed since.
-    instant predecessor_seen_at;
+    /// Latest time at which a previous holder may have extended run leases.
+    instant predecessor_active_until;
     /// When the last successful renewal was sent.
     instant renewed_at;
     instant renewal_sent_at;
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -100,7 +100,18 @@
 template <typename Archive>
 void serialize(Archive& archive, lease_row& r)
 {
-    archive(r.holder, r.address, r.incarnation, r.term, r.released);
+    archive(r.holder, r.address, r.incarnation, r.term, r.released, r.recovered);
+}
+
+/// A lease row as it was written before `recovered` was added.
+struct lease_row_without_recovered {
+    lease_row row;
+};
+
+template <typename Archive>
+void serialize(Archive& archive, lease_row_without_recovered& r)
+{
+    archive(r.row.holder, r.row.address, r.row.incarnation, r.row.term, r.row.released);
 }
 
 template <typename Archive>
@@ -237,7 +248,15 @@
 
 absl::StatusOr<lease_row> decode_lease(const std::string& text)
 {
-    return decode<lease_row>(text, "lease");
+    auto row = decode<lease_row>(text, "lease");
+    if (row.ok()) {
+        return row;
+    }
+    const auto earlier = decode<lease_row_without_recovered>(text, "lease");
+    if (!earlier.ok()) {
+        return row;
+    }
+    return earlier->row;
 }
 
 std::string encode_capacity(const vm_capacity& capacity)
--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -31,6 +31,19 @@
            s.lease.row->incarnation != s.self.incarnation;
 }
 
+/// \return the latest time at which a previous holder may have extended run leases.
+///
+/// A holder stops once it has not renewed its lease for `max_time_without_renewal`. One that
+/// released its lease or whose process has ended extends none from then on, and if it had
+/// recovered, neither do those before it.
+instant predecessor_active_until(const central_state& s)
+{
+    const lease_state& l = s.lease;
+    const bool has_ended = is_held_by_previous_incarnation(s) || (l.row && l.row->released);
+    const bool is_last_known = has_ended && l.row->recovered;
+    return is_last_known ? l.seen_at : l.seen_at + config::max_time_without_renewal;
+}
+
 /// \return the jittered delay of this VM's claim; VMs with insufficient capacity wait longer, so
 /// that larger ones win.
 millis claim_delay(const central_state& s)
@@ -69,7 +82,8 @@
 
 lease_row own_row(const central_state& s, term_number term, bool released)
 {
-    return {s.self.vm.value, s.self.address, s.self.incarnation, term, released};
+    const bool recovered = s.lease.current_role == role::scheduler && !s.scheduler.recovering;
+    return {s.self.vm.value, s.self.address, s.self.incarnation, term, released, recovered};
 }
 
 void send_lease(const context& c, rows_commit commit, bool released)
@@ -240,7 +254,7 @@
     l.current_role = role::claiming;
     // Saved now: the feed may deliver this VM's own row, which changes `seen_at`, before the claim
     // is answered.
-    l.predecessor_seen_at = l.seen_at;
+    l.predecessor_active_until = predecessor_active_until(c.s);
     rows_commit claim;
     claim.preconditions.push_back({head_key, head_version});
     claim.changes.push_back({head_key, encode_head({l.term, 0})});
--- a/src/central/loading.cpp
+++ b/src/central/loading.cpp
@@ -174,11 +174,10 @@
     }
 }
 
-/// \return the latest time at which a run lease granted by an earlier holder can expire. A holder
-/// stops extending run leases once it has not renewed its own lease for `max_time_without_renewal`.
+/// \return the latest time at which a run lease granted by an earlier holder can expire.
 instant previous_leases_end(const context& c)
 {
-    return c.s.lease.predecessor_seen_at + config::max_time_without_renewal + longest_lease(c.s);
+    return c.s.lease.predecessor_active_until + longest_lease(c.s);
 }
 
 void restore_jobs(const context& c)
--- a/tests/test_central_codec.cpp
+++ b/tests/test_central_codec.cpp
@@ -144,3 +144,17 @@
     const std::string closed = std::string(depth, '[') + std::string(depth, ']');
     cr_assert_not(platform::parse_job(R"({"steps":)" + closed + "}").ok());
 }
+
+/// During a rolling upgrade VMs read lease rows of processes that do not write `recovered` yet.
+Test(central_codec, lease_row_of_an_earlier_version_is_read)
+{
+    const lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, true};
+    const std::string text = encode_lease(row);
+    const auto earlier = decode_lease(text.substr(0, text.size() - 1));
+    cr_assert(earlier.ok());
+    cr_assert_eq(earlier->term.value, 3);
+    cr_assert(earlier->released);
+    cr_assert_not(earlier->recovered);
+    cr_assert(decode_lease(text)->recovered);
+    cr_assert_not(decode_lease(text.substr(0, text.size() - 2)).ok());
+}
--- a/tests/test_central_faults.cpp
+++ b/tests/test_central_faults.cpp
@@ -29,6 +29,35 @@
     return count;
 }
 
+/// Cuts a VM off from the store and from all runners but one, and that one from all other VMs.
+void isolate_with_runner(central_world& w, std::size_t isolated, std::size_t its_runner)
+{
+    w.faults.vms_without_store.insert(isolated);
+    for (std::size_t vm{0}; vm < 3; ++vm) {
+        for (std::size_t runner{0}; runner < 3; ++runner) {
+            if ((vm == isolated) != (runner == its_runner)) {
+                w.faults.unreachable_runner_paths.insert({vm, runner});
+            }
+        }
+    }
+}
+
+/// \return the VM that becomes the scheduler beside an isolated holder.
+std::size_t wait_for_successor(central_world& w, std::size_t isolated)
+{
+    const instant give_up_at = w.now() + millis{20'000};
+    while (w.now() < give_up_at) {
+        w.run_for({10});
+        for (std::size_t vm{0}; vm < 3; ++vm) {
+            if (vm != isolated && w.state_of(vm).lease.current_role == role::scheduler) {
+                return vm;
+            }
+        }
+    }
+    cr_assert_fail("no successor");
+    return isolated;
+}
+
 } // namespace
 
 /// On kdl-accra, trouble-1 --seed 903002851771, the registry had dropped an unreachable runner, and
@@ -63,6 +92,49 @@
     expect_no_violation(w);
 }
 
+/// A restarted process that wins back the lease of its own VM knows that nobody has extended the
+/// leases on a lost runner since, so it waits for their expiry only.
+Test(central_faults, services_of_lost_runner_restart_soon_after_the_holder_restarts)
+{
+    central_world w{{.runners = 3}};
+    w.run_for(warm_up);
+    w.submit(0, make_service(id_of(1), 6));
+    w.run_for({6'000});
+    const std::size_t holder = *w.scheduler();
+    w.kill(holder);
+    w.run_for({1'000});
+    w.runner(0).is_up = false;
+    w.set_listed(0, false);
+    w.run_for({1'000});
+    w.restart(holder);
+    w.run_for({7'500});
+    cr_assert_eq(w.scheduler(), holder);
+    cr_assert_eq(running_tasks(w, 3), 6);
+    expect_no_violation(w);
+}
+
+/// The lease passes from an isolated holder, which still extends run leases, to a VM whose process
+/// restarts at once. The restarted process must wait for the isolated holder all the same.
+Test(central_faults, restart_during_recovery_still_waits_for_the_holder_before)
+{
+    constexpr std::int64_t longest_ms{8'000};
+    constexpr std::int64_t step_ms{250};
+    for (std::int64_t age_ms{6'000}; age_ms <= longest_ms; age_ms += step_ms) {
+        central_world w{{.runners = 3}};
+        w.run_for(warm_up);
+        w.submit(0, make_service(id_of(1), 6));
+        w.run_for({age_ms});
+        const std::size_t isolated = *w.scheduler();
+        isolate_with_runner(w, isolated, 0);
+        const std::size_t successor = wait_for_successor(w, isolated);
+        w.kill(successor);
+        w.run_for({200});
+        w.restart(successor);
+        w.run_for({20'000});
+        expect_no_violation(w);
+    }
+}
+
 /// On hanseok-cuminmoor, mix --seed 287916126356, a runner was permanently gone, and a new
 /// scheduler held back all tasks until that runner's leases expired, even a service whose end on
 /// another runner had been reported.
