--- a/tests/test_central_interference.cpp
+++ b/tests/test_central_interference.cpp
@@ -45,6 +45,12 @@
     cr_assert_eq(w.lowest_pace(0), 0);
 }
 
+/// \return true if the periods of this length that have passed are an even number.
+bool is_even_period(instant now, double period_ms)
+{
+    return static_cast<std::int64_t>(static_cast<double>(now.ms) / period_ms) % 2 == 0;
+}
+
 void expect_short_harm(const interference_world& w)
 {
     cr_assert_leq(w.longest_harm().count, max_harm.count, "a service was harmed for %lld ms",
@@ -138,14 +144,12 @@
         const double period_ms = uniform(1'000, 9'000);
         const double swing = uniform(0, 45);
         w.own_latency = [=](instant now) {
-            const double phase = static_cast<double>(now.ms) / period_ms;
-            return 10 + (static_cast<std::int64_t>(phase) % 2 == 0 ? 0 : swing);
+            return 10 + (is_even_period(now, period_ms) ? 0 : swing);
         };
         const double first = uniform(0, strong);
         const double second = uniform(0, strong);
         w.added_latency = [=](const std::string& image, instant now) {
-            const bool is_swapped = static_cast<std::int64_t>(now.ms / (2 * period_ms)) % 2 == 0;
-            return (image == "a") == is_swapped ? first : second;
+            return (image == "a") == is_even_period(now, 2 * period_ms) ? first : second;
         };
         w.report_error = [&] { return uniform(0.96, 1.04); };
         for (std::uint64_t n{1}; n <= 12; ++n) {
--- a/tests/test_central_stale.cpp
+++ b/tests/test_central_stale.cpp
@@ -63,12 +63,13 @@
 {
     central_world w{{.vms = vms, .runners = runners}};
     w.run_for(warm_up);
+    constexpr std::size_t steps{3};
     w.faults.report_delay = {1'500};
-    w.submit(0, central_world::make_job(id_of(1), 3, tasks, {2'000}));
+    w.submit(0, central_world::make_job(id_of(1), steps, tasks, {2'000}));
     w.run_for({25'000});
     query_all(w, 1);
     cr_assert(w.all_done(job_state::completed));
-    cr_assert_eq(w.starts(), 3 * tasks);
+    cr_assert_eq(w.starts(), std::uint64_t{steps} * tasks);
     expect_no_violation(w);
 }
 
