Planned stops: log the role, the drain's end, the loop's lag and what was left open

New histogram lag_ms.

No decision changes. test_central_entry, test_daemon_central_peers and test_central_faults pass.

--- a/daemon/central_metrics.cpp
+++ b/daemon/central_metrics.cpp
@@ -79,6 +79,7 @@
     ms_histogram call{bh::make_histogram(bh::axis::variable<>(bucket_bounds_ms))};
     ms_histogram commit{bh::make_histogram(bh::axis::variable<>(bucket_bounds_ms))};
     ms_histogram start{bh::make_histogram(bh::axis::variable<>(bucket_bounds_ms))};
+    ms_histogram lag{bh::make_histogram(bh::axis::variable<>(bucket_bounds_ms))};
 };
 
 central_metrics::central_metrics() : histograms_{std::make_unique<histograms>()} {}
@@ -139,6 +140,11 @@
     increment("holds");
 }
 
+void central_metrics::record_lag(millis lag)
+{
+    histograms_->lag(static_cast<double>(lag.count));
+}
+
 std::string central_metrics::render(const central::central_state& s, const line_log& log) const
 {
     std::ostringstream out;
@@ -156,6 +162,7 @@
     write_histogram(out, "call", histograms_->call);
     write_histogram(out, "commit", histograms_->commit);
     write_histogram(out, "start", histograms_->start);
+    write_histogram(out, "lag", histograms_->lag);
     return out.str();
 }
 
--- a/daemon/central_metrics.h
+++ b/daemon/central_metrics.h
@@ -30,6 +30,9 @@
     void record(const central::runner_order& e, instant now);
     void record(const central::runner_hold& e, instant now);
 
+    /// Records how late the event loop ran a timer.
+    void record_lag(millis lag);
+
     /// \return all metrics in Prometheus's text format.
     [[nodiscard]] std::string render(const central::central_state& s, const line_log& log) const;
 
--- a/daemon/central_ports.h
+++ b/daemon/central_ports.h
@@ -3,6 +3,7 @@
 /// implementation of `deployment` speaks the protocols of one deployment.
 #pragma once
 
+#include <cstddef>
 #include <memory>
 #include <string>
 
@@ -56,6 +57,10 @@
     virtual bool answer(const central::answer_call& e) = 0;
     /// \return true when all responses to callers have been written out.
     [[nodiscard]] virtual bool is_flushed() = 0;
+    /// \return the number of callers' calls without a response.
+    [[nodiscard]] virtual std::size_t unanswered_calls() const = 0;
+    /// \return the number of open connections of callers.
+    [[nodiscard]] virtual std::size_t open_connections() const = 0;
 };
 
 /// Dependencies of a deployment; all must outlive it.
--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -80,7 +80,12 @@
     void run()
     {
         context_.run();
-        log_.add("stopped", {});
+        log_.add("stopped", {{"calls", std::to_string(last_handle_)},
+                             {"calls_after_drain", std::to_string(last_handle_ - drained_handle_)},
+                             {"lag_ms", std::to_string(last_lag_.count)},
+                             {"waited_ms", std::to_string((clock_.now() - drained_at_).count)},
+                             {"unanswered", std::to_string(deployment_->unanswered_calls())},
+                             {"connections", std::to_string(deployment_->open_connections())}});
         log_.flush();
     }
 
@@ -130,6 +135,8 @@
     void execute(const log_event& e) { log_.add(e.name, e.fields); }
     void execute(const shutdown_complete& /*e*/)
     {
+        drained_at_ = clock_.now();
+        drained_handle_ = last_handle_;
         flush_deadline_ = clock_.now() + final_flush_timeout;
         schedule_flush_check();
     }
@@ -173,6 +180,8 @@
         timer_.async_wait([this](const asio::error_code& error) {
             if (!error) {
                 is_timer_armed_ = false;
+                last_lag_ = clock_.now() - timer_due_at_;
+                metrics_.record_lag(last_lag_);
                 post(central::tick{});
             }
         });
@@ -213,8 +222,13 @@
     bool is_processing_queue_{false};
     bool is_timer_armed_{false};
     instant timer_due_at_;
+    /// How late the last timer was: a VM without processor time left is late by much.
+    millis last_lag_;
     instant flush_deadline_;
     std::uint64_t last_handle_{0};
+    /// When the drain ended, and the handle of the newest call then.
+    instant drained_at_;
+    std::uint64_t drained_handle_{0};
     /// Handle of the newest call at the last check for flushed responses.
     std::uint64_t handle_at_last_check_{0};
 };
--- a/daemon/http_server.cpp
+++ b/daemon/http_server.cpp
@@ -43,24 +43,33 @@
     std::size_t open_{0};
 };
 
-/// Tells the handler about closed connections.
-class close_listener {
+/// Counts open connections and tells the handler about closed ones.
+class connection_listener {
 public:
-    explicit close_listener(http_handler& handler) : handler_{handler} {}
+    connection_listener(http_handler& handler, std::atomic<std::size_t>& open_connections)
+        : handler_{handler}, open_connections_{open_connections}
+    {
+    }
 
     void state_changed(const restinio::connection_state::notice_t& notice) noexcept
     {
-        if (restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
+        using namespace restinio::connection_state;
+        if (restinio::holds_alternative<accepted_t>(notice.cause())) {
+            ++open_connections_;
+        }
+        else if (restinio::holds_alternative<closed_t>(notice.cause())) {
+            --open_connections_;
             handler_.on_connection_closed(notice.connection_id());
         }
     }
 
 private:
     http_handler& handler_;
+    std::atomic<std::size_t>& open_connections_;
 };
 
 struct server_traits : public restinio::default_traits_t {
-    using connection_state_listener_t = close_listener;
+    using connection_state_listener_t = connection_listener;
     static constexpr bool use_connection_count_limiter = true;
 };
 
@@ -157,6 +166,7 @@
     [[nodiscard]] std::uint16_t port() const override { return port_; }
     [[nodiscard]] bool wait_until_flushed(millis limit) override { return unflushed_->wait(limit); }
     [[nodiscard]] bool is_flushed() override { return unflushed_->wait(millis{0}); }
+    [[nodiscard]] std::size_t open_connections() const override { return open_connections_; }
     void stop() override
     {
         if (hosted_) {
@@ -204,7 +214,8 @@
                                           .max_field_value_size(max_header_bytes)
                                           .max_field_count(max_header_count)
                                           .max_body_size(max_read_body_bytes))
-            .connection_state_listener(std::make_shared<close_listener>(handler_))
+            .connection_state_listener(
+                std::make_shared<connection_listener>(handler_, open_connections_))
             .acceptor_options_setter([](restinio::acceptor_options_t& o) {
                 o.set_option(asio::ip::tcp::acceptor::reuse_address(true));
             })
@@ -229,6 +240,7 @@
     http_handler& handler_;
     std::shared_ptr<flush_counter> unflushed_{std::make_shared<flush_counter>()};
     std::atomic<std::uint16_t> port_{0};
+    std::atomic<std::size_t> open_connections_{0};
     /// One of the two is set while the server runs.
     running_server server_;
     std::unique_ptr<hosted_server> hosted_;
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -58,6 +58,7 @@
     [[nodiscard]] virtual bool wait_until_flushed(millis limit) = 0;
     /// \return true when every answer given so far has been handed to the operating system.
     [[nodiscard]] virtual bool is_flushed() = 0;
+    [[nodiscard]] virtual std::size_t open_connections() const = 0;
     /// Closes the port and all connections; no callback comes after its return.
     virtual void stop() = 0;
 };
--- a/src/central/entry.cpp
+++ b/src/central/entry.cpp
@@ -177,7 +177,9 @@
                             {"queue", call.call.queue.value},
                             {"manifest", absl::StrCat(call.call.manifest_version)},
                             {"result", std::string{name_of(a.result)}},
-                            {"retry_after_ms", absl::StrCat(a.retry_after.count)}});
+                            {"retry_after_ms", absl::StrCat(a.retry_after.count)},
+                            {"age_ms", absl::StrCat((c.now - call.opened_at).count)},
+                            {"forwarded_to", call.last_peer_address}});
 }
 
 /// \return the answer for a call that timed out: the outcome is unknown if it was dispatched,
@@ -355,6 +357,12 @@
 
 void answer_all_open_calls(const context& c)
 {
+    millis oldest;
+    for (const auto& [handle, call] : c.s.calls) {
+        oldest = std::max(oldest, c.now - call.opened_at);
+    }
+    c.log("drain_ended", {{"open_calls", absl::StrCat(c.s.calls.size())},
+                          {"oldest_ms", absl::StrCat(oldest.count)}});
     while (!c.s.calls.empty()) {
         const auto& [handle, call] = *c.s.calls.begin();
         answer(c, handle, timeout_answer(call));
--- a/src/central/reduce.cpp
+++ b/src/central/reduce.cpp
@@ -16,6 +16,23 @@
 template <typename... Handlers>
 overloaded(Handlers...) -> overloaded<Handlers...>;
 
+const char* name_of(role r)
+{
+    switch (r) {
+    case role::follower:
+        return "follower";
+    case role::reading_head:
+        return "reading_head";
+    case role::claiming:
+        return "claiming";
+    case role::loading:
+        return "loading";
+    case role::scheduler:
+        return "scheduler";
+    }
+    return "";
+}
+
 void on_operator_changed(const context& c, const operator_changed& e)
 {
     operator_configuration& known = c.s.operators;
@@ -47,7 +64,8 @@
     }
     c.s.stopping = true;
     c.s.drain_deadline = c.now + config::drain_time;
-    c.log("shutdown_begun", {{"open_calls", absl::StrCat(c.s.calls.size())}});
+    c.log("shutdown_begun", {{"open_calls", absl::StrCat(c.s.calls.size())},
+                             {"role", name_of(c.s.lease.current_role)}});
     begin_release(c);
 }
 
