--- a/tests/process_harness.cpp
+++ b/tests/process_harness.cpp
@@ -17,15 +17,6 @@
 /// Ports between the first machine of a group and the next group.
 constexpr std::uint16_t port_block = 100;
 
-/// \return a loopback address that no other test process uses at the same time.
-std::string own_host()
-{
-    constexpr int byte_values = 254;
-    const auto pid = static_cast<int>(getpid());
-    return "127." + std::to_string(1 + pid / byte_values % byte_values) + "." +
-           std::to_string(1 + pid % byte_values) + ".1";
-}
-
 std::string runner_prefix(const std::string& failure_domain)
 {
     return "runner-" + failure_domain + "-";
@@ -38,6 +29,26 @@
 
 } // namespace
 
+std::string own_host()
+{
+    constexpr int byte_values = 254;
+    const auto pid = static_cast<int>(getpid());
+    return "127." + std::to_string(1 + pid / byte_values % byte_values) + "." +
+           std::to_string(1 + pid % byte_values) + ".1";
+}
+
+child_process start_central_vm(const std::string& test, const central_addresses& at)
+{
+    const std::string folder = std::string{PROCESS_LOG_FOLDER} + "/" + test;
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder);
+    return {CUMINMOORD_PROGRAM,
+            {flag("scheduling", "central"), flag("vm", "vm1"), flag("failure-domain", "a"),
+             flag("http-address", at.callers), flag("readiness-address", at.readiness),
+             flag("peer-address", at.peers), flag("platform", at.platform)},
+            folder + "/vm1.log"};
+}
+
 bool wait_until(const std::function<bool()>& holds, milliseconds limit)
 {
     const auto end = std::chrono::steady_clock::now() + limit;
--- a/tests/process_harness.h
+++ b/tests/process_harness.h
@@ -28,6 +28,21 @@
 /// \return whether it held.
 bool wait_until(const std::function<bool()>& holds, milliseconds limit = soon);
 
+/// \return a loopback address that no other test process uses at the same time.
+std::string own_host();
+
+/// Addresses of an entry VM under central scheduling, each "ip:port".
+struct central_addresses {
+    std::string callers;
+    std::string readiness;
+    std::string peers;
+    std::string platform;
+};
+
+/// Starts one entry VM under central scheduling.
+/// \param test name of the test; the log is kept under it.
+child_process start_central_vm(const std::string& test, const central_addresses& at);
+
 struct cluster_options {
     /// Name of the test; its logs are kept under it.
     std::string name;
