Planned stops: end when the event loop is quiet, not when 10 ms have passed

Cause: the end of the process was decided by wall-clock time. It ended when no new call had been read for 10 ms, or 500 ms after the drain time in any case. A VM with a tenth of a core may not run at all in that time: requests wait in connections that it has not accepted or not read, and the reducer, which answers all calls that it knows, does not know them. Class of fault: elapsed time taken as evidence that nothing is left to do.

Now the process runs its loop until no handler was ready for 30 ms and a look at the sockets after that wait finds nothing, and all responses are written, those to peers included. At 1.2 s after the drain time, 0.8 s before SIGKILL, it looks once more and ends.

--- a/daemon/central_peers.h
+++ b/daemon/central_peers.h
@@ -27,6 +27,8 @@
     /// Responds to a peer's call.
     /// \return false when no peer's call has this handle.
     bool answer(const central::answer_call& e);
+    /// \return true when all responses to peers have been written out.
+    [[nodiscard]] bool is_flushed() { return server_->is_flushed(); }
 
     void on_request(http_request request, http_responder respond) override;
     void on_connection_closed(connection_number connection) override;
--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -17,6 +17,7 @@
 #include "central_peers.h"
 #include "central_ports.h"
 #include "line_log.h"
+#include "quiet_loop.h"
 #include "system_clock.h"
 
 namespace cuminmoor::io {
@@ -25,7 +26,8 @@
 
 /// Connections to one runner: starts are sent in parallel to the hold that is waiting.
 constexpr long connections_per_address{12};
-constexpr millis final_flush_timeout{500};
+/// For calls that arrive after the drain time. The platform kills the process 2 s after it.
+constexpr quiet_limits final_calls{.quiet_time = {30}, .max_time = {1'200}};
 
 central::central_state make_state(const settings& s)
 {
@@ -80,10 +82,13 @@
     void run()
     {
         context_.run();
+        const bool is_quiet = run_until_quiet(
+            context_, clock_, [this] { return is_flushed(); }, final_calls);
         log_.add("stopped", {{"calls", std::to_string(last_handle_)},
                              {"calls_after_drain", std::to_string(last_handle_ - drained_handle_)},
                              {"lag_ms", std::to_string(last_lag_.count)},
                              {"waited_ms", std::to_string((clock_.now() - drained_at_).count)},
+                             {"quiet", is_quiet ? "true" : "false"},
                              {"unanswered", std::to_string(deployment_->unanswered_calls())},
                              {"connections", std::to_string(deployment_->open_connections())}});
         log_.flush();
@@ -133,12 +138,12 @@
         }
     }
     void execute(const log_event& e) { log_.add(e.name, e.fields); }
+    /// Ends `context_.run()`. The reducer answers calls that arrive later at once.
     void execute(const shutdown_complete& /*e*/)
     {
         drained_at_ = clock_.now();
         drained_handle_ = last_handle_;
-        flush_deadline_ = clock_.now() + final_flush_timeout;
-        schedule_flush_check();
+        context_.stop();
     }
     template <typename Effect>
     void execute(const Effect& e)
@@ -147,25 +152,7 @@
         deployment_->execute(e);
     }
 
-    /// Stops the loop once all responses are flushed and no call arrived since the last check, or
-    /// at the deadline. The reducer answers calls that arrive during the shutdown at once.
-    void stop_when_flushed()
-    {
-        const bool no_new_calls = last_handle_ == handle_at_last_check_;
-        if ((no_new_calls && deployment_->is_flushed()) || clock_.now() >= flush_deadline_) {
-            context_.stop();
-            return;
-        }
-        schedule_flush_check();
-    }
-
-    void schedule_flush_check()
-    {
-        constexpr std::chrono::milliseconds check_interval{10};
-        handle_at_last_check_ = last_handle_;
-        timer_.expires_after(check_interval);
-        timer_.async_wait([this](const asio::error_code& /*error*/) { stop_when_flushed(); });
-    }
+    [[nodiscard]] bool is_flushed() { return deployment_->is_flushed() && peers_.is_flushed(); }
 
     void arm_timer()
     {
@@ -224,13 +211,10 @@
     instant timer_due_at_;
     /// How late the last timer was: a VM without processor time left is late by much.
     millis last_lag_;
-    instant flush_deadline_;
     std::uint64_t last_handle_{0};
     /// When the drain ended, and the handle of the newest call then.
     instant drained_at_;
     std::uint64_t drained_handle_{0};
-    /// Handle of the newest call at the last check for flushed responses.
-    std::uint64_t handle_at_last_check_{0};
 };
 
 } // namespace
