Lost runs: log how long they worked, whether the runner was leaving, and what else ran there

Runners keep their last sign of life: the last report or answer to an order of this incarnation. No decision changes; test_central_faults passes.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -261,6 +261,9 @@
     std::uint32_t failures_in_a_row{0};
     instant avoided_until;
 
+    /// Last sign of life of this incarnation. An answer with an earlier clock is of a later one.
+    clock_sample last_alive;
+
     /// Pace of its antagonists and of its benign leftover tasks, in percent of full speed.
     std::uint32_t antagonist_pace{full_pace};
     std::uint32_t benign_pace{full_pace};
--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -158,6 +158,12 @@
     }
     if (r != nullptr && e.clock && r->clock) {
         r->clock = clock_sample{*e.clock, c.now};
+        const bool is_same_incarnation = r->is_responsive &&
+                                         e.result != order_result::other_incarnation &&
+                                         *e.clock >= r->last_alive.shown;
+        if (is_same_incarnation) {
+            r->last_alive = *r->clock;
+        }
     }
     switch (e.kind) {
     case order_kind::start:
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -113,6 +113,7 @@
     if (other_incarnation) {
         begin_incarnation(c, r, e);
     }
+    r.last_alive = clock_sample{e.clock, c.now};
     if (e.started_at_ms != 0) {
         r.entry.started_at_ms = e.started_at_ms;
     }
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -18,7 +18,7 @@
 ///
 /// While the start order is unanswered, the run is kept and flagged instead: the answer may come
 /// from the previous incarnation, so it does not prove that the run exists.
-void mark_run_lost(const context& c, const graph_task_id& id, task_ref ref,
+void mark_run_lost(const context& c, const runner_record& r, const graph_task_id& id, task_ref ref,
                    const std::string& cause)
 {
     run& lost_run = *ref.task->current_run;
@@ -26,7 +26,15 @@
         lost_run.runner_may_have_restarted = true;
         return;
     }
-    log_run(c, "run_lost", id, lost_run, cause.c_str());
+    const millis survived = std::max(millis{0}, r.last_alive.seen_at - lost_run.ordered_at);
+    c.log("run_lost", {{"task", to_string(id)},
+                       {"run", absl::StrCat(lost_run.number.value)},
+                       {"runner", lost_run.runner.value},
+                       {"outcome", cause},
+                       {"age_ms", absl::StrCat((c.now - lost_run.ordered_at).count)},
+                       {"survived_ms", absl::StrCat(survived.count)},
+                       {"draining", r.entry.draining ? "true" : "false"},
+                       {"runs", absl::StrCat(r.runs.size())}});
     release_run(c, id, ref);
 }
 
@@ -254,7 +262,7 @@
     for (const graph_task_id& id : lost_runs) {
         const task_ref ref = find_task(c.s, id);
         if (ref && ref.task->current_run) {
-            mark_run_lost(c, id, ref, cause);
+            mark_run_lost(c, r, id, ref, cause);
         }
     }
     r.orphans.clear();
@@ -282,7 +290,7 @@
             stop_run(c, id, each);
         }
         else {
-            mark_run_lost(c, id, ref, "the runner was restarted");
+            mark_run_lost(c, r, id, ref, "the runner was restarted");
         }
     }
     r.orphans.clear();
