Failing test: a task crashes one runner after the other

A task crashes each runner 10 ms after its start; the runner is back after 4 s. The world records a sixth start as a violation.

--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -575,11 +575,28 @@
             }
         }
     }
+    constexpr std::uint32_t max_starts_of_crashing_task{5};
+    if (tasks_[task].crashes >= max_starts_of_crashing_task) {
+        record_violation(absl::StrCat("a start of ", task_text(task), ", which has crashed ",
+                                      tasks_[task].crashes, " runners"));
+    }
     if (tasks_[task].failures_acknowledged >= operators_.newest.queues[0].max_attempts) {
         record_violation("a start of " + task_text(task) + " after its attempts were used up");
     }
 }
 
+void central_world::schedule_crash(const graph_task_id& task, std::size_t runner)
+{
+    if (!crashing_tasks.contains(task)) {
+        return;
+    }
+    constexpr millis time_to_crash{10};
+    schedule(now_ + time_to_crash, [this, task, runner] {
+        ++tasks_[task].crashes;
+        crash_runner_for_a_while(runner);
+    });
+}
+
 void central_world::check_capacity(std::size_t runner)
 {
     resources used;
@@ -643,6 +660,7 @@
         ++starts_;
         check_start(order, runner);
         check_capacity(runner);
+        schedule_crash(order.task, runner);
     }
     if (!is_answered) {
         return;
@@ -817,6 +835,26 @@
     runners_[runner].crash(now_);
 }
 
+void central_world::crash_runner_for_a_while(std::size_t runner)
+{
+    crash_runner(runner);
+    faults.unreachable_runners.insert(runner);
+    schedule(now_ + crash_downtime, [this, runner] {
+        crash_runner(runner);
+        faults.unreachable_runners.erase(runner);
+    });
+}
+
+void central_world::set_capacity(std::size_t runner, const resources& capacity)
+{
+    runners_[runner].entry.capacity = capacity;
+    for (std::size_t i{0}; i < vms_.size(); ++i) {
+        if (vms_[i].is_up && vms_[i].follows_registry && store_answers(i)) {
+            schedule_registry(i);
+        }
+    }
+}
+
 void central_world::drain_runner(std::size_t runner)
 {
     runners_[runner].entry.draining = true;
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -106,7 +106,12 @@
     [[nodiscard]] bool is_paused(std::size_t vm) const { return vms_[vm].paused_until > now_; }
     [[nodiscard]] bool is_up(std::size_t vm) const { return vms_[vm].is_up; }
     [[nodiscard]] bool is_flushing(std::size_t vm) const { return vms_[vm].is_flushing; }
+    /// The runner loses all its runs and is up again at once.
     void crash_runner(std::size_t runner);
+    /// The runner loses all its runs and cannot be reached for `crash_downtime`.
+    void crash_runner_for_a_while(std::size_t runner);
+    /// Changes a runner's capacity in the registry. What runs there goes on.
+    void set_capacity(std::size_t runner, const resources& capacity);
     /// Marks a runner as draining in the registry.
     void drain_runner(std::size_t runner);
     void set_listed(std::size_t runner, bool listed);
@@ -132,6 +137,15 @@
     [[nodiscard]] std::size_t runners() const { return runners_.size(); }
     /// Jobs whose tasks always fail.
     std::set<std::string> failing_jobs;
+    /// Tasks that crash each runner that starts them; the runner is back after `crash_downtime`.
+    std::set<graph_task_id> crashing_tasks;
+    static constexpr millis crash_downtime{4'000};
+    /// \return the number of runners that a task has crashed.
+    [[nodiscard]] std::uint32_t crashes_by(const graph_task_id& task) const
+    {
+        const auto found = tasks_.find(task);
+        return found == tasks_.end() ? 0 : found->second.crashes;
+    }
     /// Longest time so far from the end of a task to the start of a dependent one.
     millis max_dependent_start_delay;
 
@@ -177,6 +191,7 @@
         bool done{false};
         std::uint32_t failures_acknowledged{0};
         std::uint32_t failures{0};
+        std::uint32_t crashes{0};
     };
 
     void schedule(instant when, std::function<void()> run);
@@ -220,6 +235,8 @@
                        std::uint64_t incarnation);
     void check_start(const runner_order& order, std::size_t runner);
     void check_capacity(std::size_t runner);
+    /// Crashes the runner soon if the task does that.
+    void schedule_crash(const graph_task_id& task, std::size_t runner);
     void check_acknowledged(const reported_end& e);
     [[nodiscard]] bool is_stored_as_done(const graph_task_id& id) const;
     void record_violation(const std::string& text);
--- /dev/null
+++ b/tests/test_central_crashes.cpp
@@ -0,0 +1,129 @@
+/// \file
+/// Tasks that crash the runners that start them, and tasks that only run beside them or on runners
+/// that crash for another reason.
+#include <random>
+
+#include <criterion/criterion.h>
+
+#include "central/expectations.h"
+
+using namespace cuminmoor;
+using namespace cuminmoor::central;
+using namespace cuminmoor::central::test;
+
+namespace {
+
+/// Users' limit: two starts after the third crash.
+constexpr std::uint32_t max_crashes{5};
+constexpr std::uint64_t crashing_job{1'000};
+const graph_task_id crashing_task{{id_of(crashing_job)}, 0, 0, 0};
+
+/// Submits jobs of 3 tasks at a steady rate, numbered from `first`.
+void submit_steadily(central_world& w, std::uint64_t first, std::uint64_t count, millis interval)
+{
+    for (std::uint64_t n{first}; n < first + count; ++n) {
+        w.submit(n % 2, central_world::make_job(id_of(n), 1, 3, {900}));
+        w.run_for(interval);
+    }
+}
+
+void submit_crashing_job(central_world& w)
+{
+    w.crashing_tasks.insert(crashing_task);
+    w.submit(0, central_world::make_job(id_of(crashing_job), 1, 1, {900}));
+}
+
+job_state shown_state(central_world& w, std::uint64_t job)
+{
+    w.query(0, id_of(job));
+    w.run_for({200});
+    return w.caller(id_of(job)).shown.value_or(job_state::queued);
+}
+
+std::size_t count_jobs(central_world& w, std::uint64_t first, std::uint64_t count, job_state wanted)
+{
+    std::size_t found{0};
+    for (std::uint64_t n{first}; n < first + count; ++n) {
+        found += shown_state(w, n) == wanted ? 1 : 0;
+    }
+    return found;
+}
+
+} // namespace
+
+/// A task crashed one runner after the other until the end of the day.
+Test(central_crashes, task_that_crashes_its_runners_is_given_up)
+{
+    constexpr std::uint64_t jobs{60};
+    central_world w{{.runners = 8}};
+    w.run_for(warm_up);
+    submit_steadily(w, 1, jobs / 2, {100});
+    submit_crashing_job(w);
+    submit_steadily(w, 1 + jobs / 2, jobs / 2, {100});
+    w.run_for({40'000});
+    cr_expect_leq(w.crashes_by(crashing_task), max_crashes, "%u runners crashed",
+                  w.crashes_by(crashing_task));
+    cr_expect_eq(shown_state(w, crashing_job), job_state::failed);
+    cr_expect_eq(count_jobs(w, 1, jobs, job_state::completed), jobs);
+    expect_no_violation(w);
+}
+
+Test(central_crashes, service_that_crashes_its_runners_is_given_up)
+{
+    central_world w{{.runners = 8}};
+    w.run_for(warm_up);
+    graph_job job = central_world::make_job(id_of(crashing_job), 1, 1, {400});
+    job.steps[0].is_service = true;
+    w.crashing_tasks.insert(crashing_task);
+    w.submit(0, job);
+    w.run_for({40'000});
+    cr_expect_leq(w.crashes_by(crashing_task), max_crashes, "%u runners crashed",
+                  w.crashes_by(crashing_task));
+    cr_expect_eq(shown_state(w, crashing_job), job_state::failed);
+    expect_no_violation(w);
+}
+
+/// Several runners crash again and again though no task does anything wrong.
+Test(central_crashes, tasks_on_runners_that_crash_for_another_reason_are_not_given_up)
+{
+    constexpr std::uint64_t seeds{10};
+    constexpr std::uint64_t jobs{120};
+    constexpr std::size_t runners{20};
+    for (std::uint64_t seed{1}; seed <= seeds; ++seed) {
+        central_world w{{.seed = seed, .runners = runners}};
+        std::mt19937_64 random{seed};
+        w.run_for(warm_up);
+        constexpr int waves{6};
+        for (std::uint64_t wave{0}; wave < waves; ++wave) {
+            submit_steadily(w, 1 + wave * jobs / waves, jobs / waves, {150});
+            for (std::size_t i{0}; i < runners; ++i) {
+                if (random() % 10 < 3) {
+                    w.crash_runner_for_a_while(i);
+                }
+            }
+        }
+        w.run_for({30'000});
+        cr_expect_eq(count_jobs(w, 1, jobs, job_state::completed), jobs, "seed %lu",
+                     static_cast<unsigned long>(seed));
+        expect_no_violation(w);
+    }
+}
+
+/// A runner's capacity may shrink while tasks run there.
+Test(central_crashes, runner_whose_capacity_shrank_is_not_overcommitted)
+{
+    central_world w{{.runners = 2}};
+    w.run_for(warm_up);
+    submit_steadily(w, 1, 10, {100});
+    const resources full = w.runner(0).entry.capacity;
+    const resources half{full.milli_cores / 2, full.memory_mib / 2, 0};
+    w.set_capacity(0, half);
+    w.run_for({2'000});
+    const std::uint64_t starts = w.starts();
+    submit_steadily(w, 11, 20, {100});
+    cr_expect_gt(w.starts(), starts);
+    w.set_capacity(0, full);
+    w.run_for({10'000});
+    cr_expect_eq(count_jobs(w, 1, 30, job_state::completed), 30);
+    expect_no_violation(w);
+}
