Crashes: give up a task that crashes the runners that start it

Cause: attempts count ends that a runner reports. A crashed runner reports none, so such a run counted nowhere, and the task started again as soon as the loss was known. Class of fault: an outcome that nobody reports was taken for no outcome.

Now a crash is counted for each task that may have caused it: the runner gave no sign of life later than 500 ms after the task's start there. It does not count if the runner was leaving, or if other runners were lost at the same time without such a task or in numbers (an outside cause). A counted task starts again on the runner with the fewest runs and without other recent starts, and for 200 ms nothing else starts there, so the next crash can be attributed. The second crash ends the job as failed if the task is the only suspect, the third in any case. The counts are stored with the progress; rows without them are read, and older processes ignore them.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -95,6 +95,23 @@
 /// A runner that refused a start receives no new runs for this long.
 inline constexpr millis refused_start_avoid_time{1'000};
 
+// Tasks that crash their runners.
+/// A run may have crashed its runner if the runner gave no sign of life later than this after the
+/// run's start.
+inline constexpr millis crash_window{500};
+/// After the start of a task that may have crashed a runner, nothing else starts on its runner for
+/// this long.
+inline constexpr millis crash_probation{200};
+/// Runners that crash within this time of each other may have crashed for a common reason: they did
+/// if no task can have crashed one of them, or if they are at least this many and this share of
+/// all.
+inline constexpr millis crash_coincidence{300};
+inline constexpr std::size_t min_common_crashes{3};
+inline constexpr std::size_t min_common_crashes_percent{5};
+/// A task is given up, and its job fails, after this many crashes if it was the only run that may
+/// have caused the last one, and after one more if it was not.
+inline constexpr std::uint32_t crashes_to_give_up{2};
+
 // Placement.
 /// Minimum time between placement rounds if no step became ready in between.
 inline constexpr millis placement_interval{10};
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -99,6 +99,8 @@
     std::vector<run_number> failed_runs;
     /// Runner of its last failed run.
     runner_id failed_on;
+    /// Crashes of runners that this task may have caused, see crashes.cpp.
+    std::uint32_t crashes{0};
     /// Highest run number assigned or reported.
     run_number last_run;
     std::string checkpoint;
@@ -201,6 +203,16 @@
     std::uint64_t stop_confirmed_at_hold{0};
 };
 
+/// A runner stopped answering; it may have crashed.
+struct runner_loss {
+    runner_id runner;
+    /// It happened between these times: the last sign of life, and when it was noticed.
+    instant after;
+    instant before;
+    /// Jobs of the tasks that may have crashed it.
+    std::vector<job_id> suspects;
+};
+
 struct runner_record {
     runner_entry entry;
     /// False once the runner registry no longer lists it.
@@ -263,6 +275,9 @@
 
     /// Last sign of life of this incarnation. An answer with an earlier clock is of a later one.
     clock_sample last_alive;
+    /// A task that may crash its runner was started there: nothing else starts before this time, so
+    /// that a crash can be attributed. Reset by the first check after it.
+    std::optional<instant> probation_until;
 
     /// Pace of its antagonists and of its benign leftover tasks, in percent of full speed.
     std::uint32_t antagonist_pace{full_pace};
@@ -447,6 +462,8 @@
     /// Number of runs checked for a failed stop since the lease was won.
     std::uint64_t stop_retry_checks{0};
     instant last_relocation_at;
+    /// Losses of runners that were not leaving, oldest first; see crashes.cpp.
+    std::deque<runner_loss> recent_losses;
     /// Calls that arrived while the jobs were being loaded.
     std::vector<std::pair<call_handle, job_call>> deferred_calls;
     instant next_cleanup_at;
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -158,10 +158,28 @@
     archive(o.due, o.is_started, o.steps);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, stored_crashes& c)
+{
+    archive(c.occurrence, c.step, c.index, c.crashes);
+}
+
+/// Processes that do not know `crashes` read what precedes it and ignore the rest of the row.
 template <typename Archive>
 void serialize(Archive& archive, stored_progress& p)
 {
-    archive(p.state, p.occurrences);
+    archive(p.state, p.occurrences, p.crashes);
+}
+
+/// Progress as it was written before `crashes` was added.
+struct progress_without_crashes {
+    stored_progress progress;
+};
+
+template <typename Archive>
+void serialize(Archive& archive, progress_without_crashes& p)
+{
+    archive(p.progress.state, p.progress.occurrences);
 }
 
 namespace {
@@ -229,6 +247,36 @@
     return state <= job_state::cancelled;
 }
 
+std::vector<stored_crashes> crashes_of(const std::vector<occurrence_record>& occurrences)
+{
+    std::vector<stored_crashes> crashes;
+    for (std::uint32_t k{0}; k < occurrences.size(); ++k) {
+        const auto& steps = occurrences[k].steps;
+        for (std::uint32_t step{0}; step < steps.size(); ++step) {
+            const auto& tasks = steps[step].tasks;
+            for (std::uint32_t i{0}; i < tasks.size(); ++i) {
+                if (tasks[i].crashes > 0) {
+                    crashes.push_back({k, step, i, tasks[i].crashes});
+                }
+            }
+        }
+    }
+    return crashes;
+}
+
+/// \return the task that the counts belong to, or null.
+task_record* find_crashed_task(stored_progress& progress, const stored_crashes& c)
+{
+    if (c.occurrence >= progress.occurrences.size()) {
+        return nullptr;
+    }
+    auto& steps = progress.occurrences[c.occurrence].steps;
+    if (c.step >= steps.size() || c.index >= steps[c.step].tasks.size()) {
+        return nullptr;
+    }
+    return &steps[c.step].tasks[c.index];
+}
+
 } // namespace
 
 std::string encode_head(const head_row& row)
@@ -323,9 +371,10 @@
 
 std::string encode_progress(const job_record& job)
 {
-    stored_progress progress{job.state, {}};
+    stored_progress progress{job.state, {}, {}};
     if (!job.has_ended()) {
         progress.occurrences = job.occurrences;
+        progress.crashes = crashes_of(job.occurrences);
     }
     return encode(progress);
 }
@@ -333,9 +382,23 @@
 absl::StatusOr<stored_progress> decode_progress(const std::string& text)
 {
     auto progress = decode<stored_progress>(text, "job progress");
-    if (progress.ok() && !is_job_state(progress->state)) {
+    if (!progress.ok()) {
+        auto earlier = decode<progress_without_crashes>(text, "job progress");
+        if (!earlier.ok() || encode(*earlier).size() != text.size()) {
+            return progress;
+        }
+        progress = std::move(earlier->progress);
+    }
+    if (!is_job_state(progress->state)) {
         return absl::InvalidArgumentError("job progress: unknown state");
     }
+    for (const stored_crashes& each : progress->crashes) {
+        task_record* const task = find_crashed_task(*progress, each);
+        if (task == nullptr) {
+            return absl::InvalidArgumentError("job progress: crashes of an unknown task");
+        }
+        task->crashes = each.crashes;
+    }
     return progress;
 }
 
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -156,6 +156,17 @@
 /// after the hold was sent is stopped instead, as the report may predate it.
 void drop_unreported_runs(const context& c, runner_record& r, const runner_hold_ended& report);
 
+// ---- crashes.cpp: tasks that crash their runners
+/// Records that a runner stopped answering.
+void record_runner_loss(const context& c, const runner_record& r);
+/// \return the tasks whose current runs may have crashed the runner.
+std::vector<graph_task_id> crash_suspects(const context& c, const runner_record& r);
+/// Counts a crash of the runner for each suspect whose run was lost with it, and gives up tasks
+/// that crashed too many. No effect if the runner was leaving or the crash may have an outside
+/// cause.
+void count_crash(const context& c, const runner_record& r,
+                 const std::vector<graph_task_id>& suspects);
+
 // ---- run_reports.cpp: processing of runner reports
 void process_reported_end(const context& c, runner_record& r, const reported_end& e);
 void process_reported_runs(const context& c, runner_record& r,
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -88,14 +88,18 @@
     const graph_step& step = *ref.step;
     const bool has_required_label =
         step.required_label.empty() || has_label(r.entry, step.required_label);
-    return r.entry.service == ref.job->queue_settings.service && has_required_label &&
-           has_capacity(c, r, ref, requirement) &&
+    return !r.probation_until && r.entry.service == ref.job->queue_settings.service &&
+           has_required_label && has_capacity(c, r, ref, requirement) &&
            (step.max_per_runner == 0 || count_of_step(r, id) < step.max_per_runner);
 }
 
 /// Score of a runner for a task. Compared member by member in this order; higher is better.
 struct placement_score {
     bool is_other_than_failed{false};
+    /// Only for tasks that may crash their runner: no other run there could have caused the crash,
+    /// and the negative number of runs that would be lost.
+    bool is_crash_attributable{false};
+    std::int64_t exposed_runs{0};
     bool is_near_data{false};
     bool is_benign{false};
     std::int64_t spare_capacity{0};
@@ -116,12 +120,16 @@
 placement_score score(const context& c, const runner_record& r, const task_ref& ref)
 {
     const graph_step& step = *ref.step;
-    const bool is_other_than_failed = r.entry.id != ref.task->failed_on;
-    const bool is_near_data = step.data_rack.empty() || has_label(r.entry, step.data_rack);
-    if (step.is_service) {
-        return {is_other_than_failed, is_near_data, true, image_affinity(r, ref)};
+    placement_score s;
+    s.is_other_than_failed = r.entry.id != ref.task->failed_on;
+    if (ref.task->crashes > 0) {
+        s.is_crash_attributable = crash_suspects(c, r).empty();
+        s.exposed_runs = -static_cast<std::int64_t>(r.runs.size());
     }
-    return {is_other_than_failed, is_near_data, !is_antagonist(c.s, r, ref), spare_milli_cores(r)};
+    s.is_near_data = step.data_rack.empty() || has_label(r.entry, step.data_rack);
+    s.is_benign = step.is_service || !is_antagonist(c.s, r, ref);
+    s.spare_capacity = step.is_service ? image_affinity(r, ref) : spare_milli_cores(r);
+    return s;
 }
 
 run_number next_run_number(const context& c, const task_record& task)
--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -61,8 +61,11 @@
     if (e.result == order_result::other_incarnation) {
         release_run(c, e.task, ref);
         if (r != nullptr) {
-            mark_all_runs_lost(c, *r, "another incarnation answers at the runner's address");
+            if (r->is_responsive) {
+                record_runner_loss(c, *r);
+            }
             r->is_responsive = false;
+            mark_all_runs_lost(c, *r, "another incarnation answers at the runner's address");
         }
         return;
     }
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -95,6 +95,7 @@
     if (r.is_responsive) {
         log_runner(c, "runner_lost", r,
                    result == order_result::other_incarnation ? "other incarnation" : "");
+        record_runner_loss(c, r);
     }
     r.is_responsive = false;
     if (result == order_result::other_incarnation) {
@@ -111,6 +112,9 @@
     const bool other_incarnation = r.entry.started_at_ms != 0 && e.started_at_ms != 0 &&
                                    r.entry.started_at_ms != e.started_at_ms;
     if (other_incarnation) {
+        if (r.is_responsive) {
+            record_runner_loss(c, r);
+        }
         begin_incarnation(c, r, e);
     }
     r.last_alive = clock_sample{e.clock, c.now};
@@ -169,6 +173,20 @@
     send_hold(c, r);
 }
 
+/// Makes the runner available to placement again once its probation has ended.
+void end_probation_when_due(const context& c, runner_record& r)
+{
+    if (!r.probation_until) {
+        return;
+    }
+    if (c.now < *r.probation_until) {
+        c.wake_by(*r.probation_until);
+        return;
+    }
+    r.probation_until.reset();
+    c.s.scheduler.placement_due = true;
+}
+
 /// Marks all runs of an unresponsive runner as lost after their leases have expired.
 ///
 /// A successor may have extended the leases, but not before this VM sent the last successful
@@ -329,6 +347,7 @@
         drop_runs_with_expired_leases(c, r);
         retry_failed_stops(c, r);
         pause_if_reports_are_overdue(c, r);
+        end_probation_when_due(c, r);
         if (!c.s.scheduler.recovering && can_remove_runner(r, c.s.lease.renewed_at)) {
             log_runner(c, "runner_forgotten", r, "");
             if (r.stored) {
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -199,6 +199,10 @@
     order.checkpoint = ref.task->checkpoint;
     order.lease_until = grant_lease(c, r).value_or(remote_instant{});
     log_run(c, "run_started", id, started, order.checkpoint.empty() ? "fresh" : "resumed");
+    if (ref.task->crashes > 0) {
+        r.probation_until = c.now + config::crash_probation;
+        c.wake_by(*r.probation_until);
+    }
     c.add(std::move(order));
 }
 
@@ -259,6 +263,7 @@
 void mark_all_runs_lost(const context& c, runner_record& r, const std::string& cause)
 {
     const std::vector<graph_task_id> lost_runs{r.runs.begin(), r.runs.end()};
+    const std::vector<graph_task_id> suspects = crash_suspects(c, r);
     for (const graph_task_id& id : lost_runs) {
         const task_ref ref = find_task(c.s, id);
         if (ref && ref.task->current_run) {
@@ -266,6 +271,7 @@
         }
     }
     r.orphans.clear();
+    count_crash(c, r, suspects);
 }
 
 void drop_unreported_runs(const context& c, runner_record& r, const runner_hold_ended& report)
@@ -278,6 +284,7 @@
         reported.emplace(each.task, each.run);
     }
     const std::vector<graph_task_id> known{r.runs.begin(), r.runs.end()};
+    const std::vector<graph_task_id> suspects = crash_suspects(c, r);
     for (const graph_task_id& id : known) {
         const task_ref ref = find_task(c.s, id);
         if (!ref || !ref.task->current_run ||
@@ -294,6 +301,7 @@
         }
     }
     r.orphans.clear();
+    count_crash(c, r, suspects);
 }
 
 } // namespace cuminmoor::central
--- a/tests/test_central_crashes.cpp
+++ b/tests/test_central_crashes.cpp
@@ -5,6 +5,7 @@
 
 #include <criterion/criterion.h>
 
+#include "central/codec.h"
 #include "central/expectations.h"
 
 using namespace cuminmoor;
@@ -61,8 +62,8 @@
     submit_crashing_job(w);
     submit_steadily(w, 1 + jobs / 2, jobs / 2, {100});
     w.run_for({40'000});
-    cr_expect_leq(w.crashes_by(crashing_task), max_crashes, "%u runners crashed",
-                  w.crashes_by(crashing_task));
+    cr_expect_eq(w.crashes_by(crashing_task), config::crashes_to_give_up, "%u runners crashed",
+                 w.crashes_by(crashing_task));
     cr_expect_eq(shown_state(w, crashing_job), job_state::failed);
     cr_expect_eq(count_jobs(w, 1, jobs, job_state::completed), jobs);
     expect_no_violation(w);
@@ -77,8 +78,7 @@
     w.crashing_tasks.insert(crashing_task);
     w.submit(0, job);
     w.run_for({40'000});
-    cr_expect_leq(w.crashes_by(crashing_task), max_crashes, "%u runners crashed",
-                  w.crashes_by(crashing_task));
+    cr_expect_leq(w.crashes_by(crashing_task), config::crashes_to_give_up + 1);
     cr_expect_eq(shown_state(w, crashing_job), job_state::failed);
     expect_no_violation(w);
 }
@@ -109,6 +109,74 @@
     }
 }
 
+/// The successor knows of crashes that its predecessor saw.
+Test(central_crashes, successor_continues_the_count_of_crashes)
+{
+    central_world w{{.runners = 8}};
+    w.run_for(warm_up);
+    submit_steadily(w, 1, 5, {100});
+    submit_crashing_job(w);
+    while (w.crashes_by(crashing_task) < 1) {
+        w.run_for({10});
+    }
+    const std::uint64_t starts = w.starts();
+    while (w.starts() == starts) {
+        w.run_for({10});
+    }
+    w.run_for({100});
+    const std::size_t holder = *w.scheduler();
+    w.kill(holder);
+    w.run_for({60'000});
+    cr_expect_leq(w.crashes_by(crashing_task), 3, "%u runners crashed",
+                  w.crashes_by(crashing_task));
+    w.restart(holder);
+    w.run_for({2'000});
+    cr_expect_eq(shown_state(w, crashing_job), job_state::failed);
+    expect_no_violation(w);
+}
+
+/// Holders that are lost one after the other still give the task up in time.
+Test(central_crashes, task_is_given_up_although_the_lease_moves)
+{
+    constexpr std::uint64_t seeds{20};
+    for (std::uint64_t seed{1}; seed <= seeds; ++seed) {
+        central_world w{{.seed = seed, .runners = 12}};
+        w.run_for(warm_up);
+        submit_crashing_job(w);
+        for (int i{0}; i < 3; ++i) {
+            w.run_for({static_cast<std::int64_t>(4'000 + 700 * seed)});
+            if (const auto holder = w.scheduler()) {
+                w.kill(*holder);
+                w.restart(*holder);
+            }
+        }
+        w.run_for({60'000});
+        cr_expect_eq(shown_state(w, crashing_job), job_state::failed, "seed %lu",
+                     static_cast<unsigned long>(seed));
+        expect_no_violation(w);
+    }
+}
+
+Test(central_crashes, progress_row_of_an_earlier_version_is_read)
+{
+    job_record job;
+    job.occurrences.resize(1);
+    job.occurrences[0].steps.resize(2);
+    job.occurrences[0].steps[1].tasks.resize(3);
+    const std::string without = encode_progress(job);
+    job.occurrences[0].steps[1].tasks[2].crashes = 1;
+    const std::string with = encode_progress(job);
+    cr_assert_eq(decode_progress(with)->occurrences[0].steps[1].tasks[2].crashes, 1);
+    constexpr std::size_t count_bytes{8};
+    const auto earlier = decode_progress(without.substr(0, without.size() - count_bytes));
+    cr_assert(earlier.ok());
+    cr_assert_eq(earlier->occurrences[0].steps[1].tasks.size(), 3);
+    for (std::size_t cut{1}; cut < count_bytes; ++cut) {
+        cr_assert_not(decode_progress(without.substr(0, without.size() - cut)).ok());
+        cr_assert_not(decode_progress(with.substr(0, with.size() - cut)).ok());
+    }
+}
+
 /// A runner's capacity may shrink while tasks run there.
 Test(central_crashes, runner_whose_capacity_shrank_is_not_overcommitted)
 {
