--- a/daemon/central_ports.h
+++ b/daemon/central_ports.h
@@ -32,6 +32,8 @@
     virtual central::call_handle next_handle() = 0;
     /// \return true while this VM accepts calls; the load balancer asks for it.
     [[nodiscard]] virtual bool is_ready() const = 0;
+    /// \return true once a shutdown was requested.
+    [[nodiscard]] virtual bool is_stopping() const = 0;
 };
 
 /// Connects the scheduler to the store, the runners and the callers of one deployment.
--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -105,6 +105,7 @@
     central::call_handle next_handle() override { return {++last_handle_}; }
 
     [[nodiscard]] bool is_ready() const override { return central::is_ready(state_); }
+    [[nodiscard]] bool is_stopping() const override { return state_.stopping; }
 
 private:
     void process_queue()
--- a/tests/process_central_shutdown_test.cpp
+++ b/tests/process_central_shutdown_test.cpp
@@ -12,6 +12,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/read.hpp>
+#include <asio/read_until.hpp>
 #include <asio/write.hpp>
 
 #include "process_harness.h"
@@ -107,6 +108,41 @@
     }
 }
 
+/// \return true if the VM closes a connection after its answer.
+bool closes_after_answer(const std::string& ip, std::uint16_t port)
+{
+    asio::io_context context;
+    asio::ip::tcp::socket socket{context};
+    socket.connect({asio::ip::make_address(ip), port});
+    asio::write(socket,
+                asio::buffer(std::string{"GET /queue/ HTTP/1.1\r\nHost: a.example\r\n\r\n"}));
+    std::string answer;
+    asio::error_code error;
+    asio::read_until(socket, asio::dynamic_buffer(answer), "\r\n\r\n{}", error);
+    if (error) {
+        return false;
+    }
+    const bool says_so = answer.find("Connection: close") != std::string::npos;
+    asio::read(socket, asio::dynamic_buffer(answer), asio::transfer_at_least(1), error);
+    return says_so && error == asio::error::eof;
+}
+
+pt::central_addresses addresses(const std::string& ip, std::uint16_t first_port)
+{
+    const auto at = [&](int offset) { return ip + ":" + std::to_string(first_port + offset); };
+    return {.callers = at(0), .readiness = at(1), .peers = at(2), .platform = at(3)};
+}
+
+/// Starts a VM that has no platform, so that it is never ready and refuses all requests.
+pt::child_process start_vm(const std::string& test, const pt::central_addresses& at)
+{
+    pt::child_process vm = pt::start_central_vm(test, at);
+    constexpr int not_ready{503};
+    cr_assert(pt::wait_until(
+        [&] { return pt::status_of(pt::get(at.readiness, "/-/ready")) == not_ready; }));
+    return vm;
+}
+
 } // namespace
 
 /// The process ended as soon as 10 ms had passed without a new request, though requests waited in
@@ -115,15 +151,7 @@
 {
     const std::string ip{pt::own_host()};
     constexpr std::uint16_t port{7'001};
-    const pt::central_addresses at{.callers = ip + ":7001",
-                                   .readiness = ip + ":7002",
-                                   .peers = ip + ":7003",
-                                   .platform = ip + ":7004"};
-    pt::child_process vm = pt::start_central_vm("central_shutdown", at);
-    // Not ready, as there is no platform; the VM refuses all requests.
-    constexpr int not_ready{503};
-    cr_assert(pt::wait_until(
-        [&] { return pt::status_of(pt::get(at.readiness, "/-/ready")) == not_ready; }));
+    pt::child_process vm = start_vm("central_shutdown", addresses(ip, port));
     vm.send_signal(SIGTERM);
     const auto stopped_at = clock_type::now();
     std::this_thread::sleep_for(pt::milliseconds{3'000});
@@ -137,3 +165,15 @@
     cr_expect_eq(cut, 0, "%ld of %zu requests were cut off", static_cast<long>(cut),
                  exchanges.size());
 }
+
+/// Callers kept a connection whose VM was about to end, and lost the request that they sent last.
+Test(central_shutdown, answers_during_the_drain_close_their_connections)
+{
+    const std::string ip{pt::own_host()};
+    constexpr std::uint16_t port{7'001};
+    pt::child_process vm = start_vm("central_shutdown_close", addresses(ip, port));
+    vm.send_signal(SIGTERM);
+    cr_expect(
+        pt::wait_until([&] { return closes_after_answer(ip, port); }, pt::milliseconds{2'000}));
+    cr_expect_eq(vm.wait_for_exit(stop_limit).value_or(-1), 0);
+}
