Crashes: tasks that crash their runners at the same moments are told apart

A task that may have crashed a runner now starts again isolated in any case, whether the crash counts or not. The crash of a runner on which an isolated task is the only suspect is attributed to it: it is no sign of an outside cause, neither for that task nor for others.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -80,6 +80,8 @@
     /// Number of the last hold sent before the start was confirmed; 0: not confirmed. The report of
     /// a later hold must list the run.
     std::uint64_t start_confirmed_at_hold{0};
+    /// It was started as a suspect where no other run could crash the runner, see crashes.cpp.
+    bool is_isolated{false};
     /// Pace last ordered, in percent of full speed, or `unknown_pace`.
     std::uint32_t pace{full_pace};
     instant paced_at;
@@ -99,8 +101,10 @@
     std::vector<run_number> failed_runs;
     /// Runner of its last failed run.
     runner_id failed_on;
-    /// Crashes of runners that this task may have caused, see crashes.cpp.
+    /// Crashes of runners that are held against this task, see crashes.cpp.
     std::uint32_t crashes{0};
+    /// A runner crashed soon after it had started this task, whatever else may explain that.
+    bool is_suspect{false};
     /// Highest run number assigned or reported.
     run_number last_run;
     std::string checkpoint;
@@ -211,6 +215,8 @@
     instant before;
     /// Jobs of the tasks that may have crashed it.
     std::vector<job_id> suspects;
+    /// The only suspect was isolated, so no other cause needs to be assumed.
+    bool is_attributed{false};
 };
 
 struct runner_record {
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -398,6 +398,7 @@
             return absl::InvalidArgumentError("job progress: crashes of an unknown task");
         }
         task->crashes = each.crashes;
+        task->is_suspect = each.crashes > 0;
     }
     return progress;
 }
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -161,9 +161,9 @@
 void record_runner_loss(const context& c, const runner_record& r);
 /// \return the tasks whose current runs may have crashed the runner.
 std::vector<graph_task_id> crash_suspects(const context& c, const runner_record& r);
-/// Counts a crash of the runner for each suspect whose run was lost with it, and gives up tasks
-/// that crashed too many. No effect if the runner was leaving or the crash may have an outside
-/// cause.
+/// Marks each of the tasks whose run was lost with the runner as a suspect. Unless the crash may
+/// have an outside cause, counts it for them and gives up tasks that crashed too many runners. No
+/// effect if the runner was leaving.
 void count_crash(const context& c, const runner_record& r,
                  const std::vector<graph_task_id>& suspects);
 
--- a/tests/test_central_crashes.cpp
+++ b/tests/test_central_crashes.cpp
@@ -69,6 +69,34 @@
     expect_no_violation(w);
 }
 
+/// Tasks that crash their runners at the same moments looked like an outside cause.
+Test(central_crashes, tasks_that_crash_their_runners_together_are_given_up)
+{
+    constexpr std::uint64_t guilty{4};
+    constexpr std::size_t runners{16};
+    central_world w{{.runners = runners}};
+    w.run_for(warm_up);
+    submit_steadily(w, 1, 10, {100});
+    for (std::uint64_t n{0}; n < guilty; ++n) {
+        graph_task_id task{crashing_task};
+        task.job.value = id_of(crashing_job + n);
+        w.crashing_tasks.insert(task);
+        graph_job job = central_world::make_job(task.job.value, 1, 1, {900});
+        // One for each runner, so that they start apart and at the same time.
+        job.steps[0].task_size = w.runner(0).entry.capacity;
+        w.submit(0, job);
+    }
+    w.run_for({60'000});
+    for (std::uint64_t n{0}; n < guilty; ++n) {
+        graph_task_id task{crashing_task};
+        task.job.value = id_of(crashing_job + n);
+        cr_expect_leq(w.crashes_by(task), max_crashes, "%u runners crashed", w.crashes_by(task));
+        cr_expect_eq(shown_state(w, crashing_job + n), job_state::failed);
+    }
+    cr_expect_eq(count_jobs(w, 1, 10, job_state::completed), 10);
+    expect_no_violation(w);
+}
+
 Test(central_crashes, service_that_crashes_its_runners_is_given_up)
 {
     central_world w{{.runners = 8}};
