Planned stops: the last calls end in time, and no handler runs on what is destroyed

Causes: the loop was left runnable when the destructors poll it; a look at the sockets had no bound while handlers stayed ready; and any handler counted as activity, those of the server's timers too.

--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -26,8 +26,10 @@
 
 /// Connections to one runner: starts are sent in parallel to the hold that is waiting.
 constexpr long connections_per_address{12};
-/// For calls that arrive after the drain time. The platform kills the process 2 s after it.
-constexpr quiet_limits final_calls{.quiet_time = {30}, .max_time = {1'200}};
+// For calls that arrive after the drain time. The platform kills the process 2 s after that.
+constexpr millis final_quiet_time{30};
+constexpr millis max_final_time{1'200};
+constexpr millis final_last_look{300};
 
 central::central_state make_state(const settings& s)
 {
@@ -82,8 +84,9 @@
     void run()
     {
         context_.run();
-        const bool is_quiet = run_until_quiet(
-            context_, clock_, [this] { return is_flushed(); }, final_calls);
+        const bool is_quiet = handle_last_calls();
+        // The destructors poll the loop: no handler may run on what is destroyed already.
+        context_.stop();
         log_.add("stopped", {{"calls", std::to_string(last_handle_)},
                              {"calls_after_drain", std::to_string(last_handle_ - drained_handle_)},
                              {"lag_ms", std::to_string(last_lag_.count)},
@@ -153,7 +156,19 @@
         deployment_->execute(e);
     }
 
-    [[nodiscard]] bool is_flushed() { return deployment_->is_flushed() && peers_.is_flushed(); }
+    /// Handles calls that arrive after the drain time, until none comes any more.
+    /// \return true if it came to that in time.
+    bool handle_last_calls()
+    {
+        const auto progress = [this] {
+            const bool is_flushed = deployment_->is_flushed() && peers_.is_flushed();
+            return call_progress{last_handle_, is_flushed};
+        };
+        return run_until_quiet(context_, clock_, progress,
+                               {.quiet_time = final_quiet_time,
+                                .end = state_.drain_deadline + max_final_time,
+                                .last_look = final_last_look});
+    }
 
     void arm_timer()
     {
--- a/tests/process_central_shutdown_test.cpp
+++ b/tests/process_central_shutdown_test.cpp
@@ -119,12 +119,12 @@
     std::string answer;
     asio::error_code error;
     asio::read_until(socket, asio::dynamic_buffer(answer), "\r\n\r\n{}", error);
-    if (error) {
+    if (error || answer.find("Connection: close") == std::string::npos) {
+        // It may have been answered before the signal was handled.
         return false;
     }
-    const bool says_so = answer.find("Connection: close") != std::string::npos;
     asio::read(socket, asio::dynamic_buffer(answer), asio::transfer_at_least(1), error);
-    return says_so && error == asio::error::eof;
+    return error == asio::error::eof;
 }
 
 pt::central_addresses addresses(const std::string& ip, std::uint16_t first_port)
@@ -143,27 +143,74 @@
     return vm;
 }
 
-} // namespace
+/// How a VM is throttled around the end of its drain time, and until when requests come.
+struct throttling {
+    pt::milliseconds running;
+    pt::milliseconds period;
+    /// After SIGTERM.
+    pt::milliseconds until;
+};
 
-/// The process ended as soon as 10 ms had passed without a new request, though requests waited in
-/// connections that it had no processor time to accept or read.
-Test(central_shutdown, answers_requests_that_a_throttled_vm_has_not_read)
+struct stop_result {
+    std::vector<exchange> exchanges;
+    int exit_code{-1};
+    /// From SIGTERM to the end of the process.
+    pt::milliseconds time;
+
+    [[nodiscard]] long cut_requests() const
+    {
+        return std::count_if(exchanges.begin(), exchanges.end(),
+                             [](const exchange& e) { return e.was_cut(); });
+    }
+};
+
+/// Stops a VM to which a request comes each 20 ms.
+stop_result stop_throttled_vm(const std::string& test, const throttling& how)
 {
     const std::string ip{pt::own_host()};
     constexpr std::uint16_t port{7'001};
-    pt::child_process vm = start_vm("central_shutdown", addresses(ip, port));
+    pt::child_process vm = start_vm(test, addresses(ip, port));
     vm.send_signal(SIGTERM);
     const auto stopped_at = clock_type::now();
     std::this_thread::sleep_for(pt::milliseconds{3'000});
     request_stream stream{ip, port, pt::milliseconds{20}};
-    throttle(vm, pt::milliseconds{3}, pt::milliseconds{600}, stopped_at + pt::milliseconds{4'600});
-    const auto exchanges = stream.end();
-    cr_expect_eq(vm.wait_for_exit(stop_limit).value_or(-1), 0);
-    const auto cut = std::count_if(exchanges.begin(), exchanges.end(),
-                                   [](const exchange& e) { return e.was_cut(); });
-    cr_expect_geq(exchanges.size(), 20);
-    cr_expect_eq(cut, 0, "%ld of %zu requests were cut off", static_cast<long>(cut),
-                 exchanges.size());
+    auto throttled = std::async(std::launch::async, [&] {
+        throttle(vm, how.running, how.period, stopped_at + how.until);
+        return 0;
+    });
+    stop_result result;
+    result.exit_code = vm.wait_for_exit(stop_limit).value_or(-1);
+    result.time = std::chrono::duration_cast<pt::milliseconds>(clock_type::now() - stopped_at);
+    throttled.get();
+    result.exchanges = stream.end();
+    return result;
+}
+
+} // namespace
+
+/// The process ended as soon as 10 ms had passed without a new request, though requests waited in
+/// connections that it had no processor time to accept or read.
+Test(central_shutdown, answers_requests_that_a_throttled_vm_has_not_read)
+{
+    const stop_result stopped = stop_throttled_vm(
+        "central_shutdown", {pt::milliseconds{3}, pt::milliseconds{600}, pt::milliseconds{4'600}});
+    cr_expect_eq(stopped.exit_code, 0);
+    cr_expect_geq(stopped.exchanges.size(), 20);
+    cr_expect_eq(stopped.cut_requests(), 0, "%ld of %zu requests were cut off",
+                 stopped.cut_requests(), stopped.exchanges.size());
+}
+
+/// The process must end by itself before the platform kills it, although requests keep coming.
+Test(central_shutdown, ends_before_the_platform_kills_it_although_requests_keep_coming)
+{
+    constexpr pt::milliseconds time_to_kill{6'000};
+    const stop_result stopped =
+        stop_throttled_vm("central_shutdown_in_time",
+                          {pt::milliseconds{10}, pt::milliseconds{100}, pt::milliseconds{6'500}});
+    cr_expect_eq(stopped.exit_code, 0);
+    cr_expect_lt(stopped.time.count(), time_to_kill.count());
+    cr_expect_eq(stopped.cut_requests(), 0, "%ld of %zu requests were cut off",
+                 stopped.cut_requests(), stopped.exchanges.size());
 }
 
 /// Callers kept a connection whose VM was about to end, and lost the request that they sent last.
