Crashes: only crashes of isolated tasks are attributed

Changes: a task that may have crashed a runner becomes a suspect and starts isolated; only the crash of an isolated, only suspect is attributed, unless at least three other runners and 5 % of all are lost at the same time without one. Two attributed crashes or four possible ones end the job. Silence counts only once the runner has left the registry. A suspect's start is stored, so that a successor knows of a run that was lost with the holder.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -96,21 +96,21 @@
 inline constexpr millis refused_start_avoid_time{1'000};
 
 // Tasks that crash their runners.
-/// A run may have crashed its runner if the runner gave no sign of life later than this after the
-/// run's start.
+/// A run may have crashed its runner if the runner, on its own clock, gave no sign of life later
+/// than this after the run's start.
 inline constexpr millis crash_window{500};
-/// After the start of a task that may have crashed a runner, nothing else starts on its runner for
-/// this long.
+/// After the start of a suspect, nothing else starts on its runner for this long.
 inline constexpr millis crash_probation{200};
-/// Runners that crash within this time of each other may have crashed for a common reason: they did
-/// if no task can have crashed one of them, or if they are at least this many and this share of
-/// all.
+/// Runners that are lost within this time of each other may have been lost for a common reason.
 inline constexpr millis crash_coincidence{300};
-inline constexpr std::size_t min_common_crashes{3};
-inline constexpr std::size_t min_common_crashes_percent{5};
-/// A task is given up, and its job fails, after this many crashes if it was the only run that may
-/// have caused the last one, and after one more if it was not.
-inline constexpr std::uint32_t crashes_to_give_up{2};
+/// An outside cause is assumed if at least this many other runners, and this share of all, are lost
+/// at the same time without an isolated suspect. The share decides from 60 runners on.
+inline constexpr std::size_t min_common_losses{3};
+inline constexpr std::size_t min_common_losses_percent{5};
+/// A task is given up, and its job fails, after this many crashes that are attributed to it, or
+/// that it may have caused.
+inline constexpr std::uint32_t attributed_crashes_to_give_up{2};
+inline constexpr std::uint32_t possible_crashes_to_give_up{4};
 
 // Placement.
 /// Minimum time between placement rounds if no step became ready in between.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -80,8 +80,12 @@
     /// Number of the last hold sent before the start was confirmed; 0: not confirmed. The report of
     /// a later hold must list the run.
     std::uint64_t start_confirmed_at_hold{0};
+    /// The runner's clock when it certainly executed the run; empty until then.
+    std::optional<remote_instant> started_by;
     /// It was started as a suspect where no other run could crash the runner, see crashes.cpp.
     bool is_isolated{false};
+    /// It has worked for longer than `crash_window`, or was adopted.
+    bool has_survived_start{false};
     /// Pace last ordered, in percent of full speed, or `unknown_pace`.
     std::uint32_t pace{full_pace};
     instant paced_at;
@@ -93,6 +97,17 @@
 
 enum class task_status : std::uint8_t { blocked, ready, active, done };
 
+/// Runners that crashed soon after they had started a task; see crashes.cpp.
+struct crash_counts {
+    /// The task may have caused it. A task for which this is not 0 is a suspect.
+    std::uint32_t possible{0};
+    /// Of these, crashes that nothing else explains.
+    std::uint32_t attributed{0};
+    /// The suspect was started, and the outcome is not known yet. A successor that finds no such
+    /// run knows that it was lost.
+    bool has_open_run{false};
+};
+
 struct task_record {
     task_status status{task_status::blocked};
     /// Failures of the task itself; each counts as an attempt.
@@ -101,10 +116,7 @@
     std::vector<run_number> failed_runs;
     /// Runner of its last failed run.
     runner_id failed_on;
-    /// Crashes of runners that are held against this task, see crashes.cpp.
-    std::uint32_t crashes{0};
-    /// A runner crashed soon after it had started this task, whatever else may explain that.
-    bool is_suspect{false};
+    crash_counts crashes;
     /// Highest run number assigned or reported.
     run_number last_run;
     std::string checkpoint;
@@ -210,13 +222,11 @@
 /// A runner stopped answering; it may have crashed.
 struct runner_loss {
     runner_id runner;
-    /// It happened between these times: the last sign of life, and when it was noticed.
-    instant after;
-    instant before;
-    /// Jobs of the tasks that may have crashed it.
-    std::vector<job_id> suspects;
-    /// The only suspect was isolated, so no other cause needs to be assumed.
-    bool is_attributed{false};
+    /// Last time at which it was known to be up, and when the loss was noticed.
+    instant alive_at;
+    instant noticed_at;
+    /// The only run that may have crashed it is isolated.
+    bool has_isolated_suspect{false};
 };
 
 struct runner_record {
@@ -281,8 +291,12 @@
 
     /// Last sign of life of this incarnation. An answer with an earlier clock is of a later one.
     clock_sample last_alive;
-    /// A task that may crash its runner was started there: nothing else starts before this time, so
-    /// that a crash can be attributed. Reset by the first check after it.
+    /// The last loss, unless the runner was leaving.
+    std::optional<runner_loss> loss;
+    /// When the hold in flight is given up.
+    instant hold_times_out_at;
+    /// A suspect was started there: nothing else starts before this time, so that a crash can be
+    /// attributed. Reset by the first check after it.
     std::optional<instant> probation_until;
 
     /// Pace of its antagonists and of its benign leftover tasks, in percent of full speed.
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -161,7 +161,8 @@
 template <typename Archive>
 void serialize(Archive& archive, stored_crashes& c)
 {
-    archive(c.occurrence, c.step, c.index, c.crashes);
+    archive(c.occurrence, c.step, c.index, c.counts.possible, c.counts.attributed,
+            c.counts.has_open_run);
 }
 
 /// Processes that do not know `crashes` read what precedes it and ignore the rest of the row.
@@ -255,7 +256,7 @@
         for (std::uint32_t step{0}; step < steps.size(); ++step) {
             const auto& tasks = steps[step].tasks;
             for (std::uint32_t i{0}; i < tasks.size(); ++i) {
-                if (tasks[i].crashes > 0) {
+                if (tasks[i].crashes.possible > 0) {
                     crashes.push_back({k, step, i, tasks[i].crashes});
                 }
             }
@@ -394,11 +395,9 @@
     }
     for (const stored_crashes& each : progress->crashes) {
         task_record* const task = find_crashed_task(*progress, each);
-        if (task == nullptr) {
-            return absl::InvalidArgumentError("job progress: crashes of an unknown task");
+        if (task != nullptr) {
+            task->crashes = each.counts;
         }
-        task->crashes = each.crashes;
-        task->is_suspect = each.crashes > 0;
     }
     return progress;
 }
--- a/src/central/codec.h
+++ b/src/central/codec.h
@@ -26,12 +26,12 @@
     millis submitted_at;
 };
 
-/// Crashes of runners that a task may have caused.
+/// Crash counts of one task.
 struct stored_crashes {
     std::uint32_t occurrence{0};
     std::uint32_t step{0};
     std::uint32_t index{0};
-    std::uint32_t crashes{0};
+    crash_counts counts;
 };
 
 /// Row of the progress table.
@@ -39,7 +39,7 @@
     job_state state{job_state::queued};
     /// Empty once the job has ended.
     std::vector<occurrence_record> occurrences;
-    /// `task_record::crashes` of the tasks for which it is not 0.
+    /// `task_record::crashes` of the suspects.
     std::vector<stored_crashes> crashes;
 };
 
--- a/src/central/crashes.cpp
+++ b/src/central/crashes.cpp
@@ -2,13 +2,13 @@
 /// Tasks that crash the runners that start them.
 ///
 /// Such a task takes down everything that runs beside it, again and again, so it is given up. Other
-/// tasks on a crashed runner did nothing wrong and must not be. Two things tell them apart: a run
-/// that crashes its runner does so soon after its start, and another cause usually hits several
-/// runners at once, some of them without a recently started run.
+/// tasks on a crashed runner did nothing wrong and must not be.
 ///
-/// A task that may have crashed a runner is a suspect. It is isolated when it starts again: on a
-/// runner where nothing else has started recently, and where nothing else starts for a while. The
-/// next crash can then be attributed to it, also if other suspects crash runners at the same time.
+/// A run that crashes its runner does so soon after its start. A task whose run had just started
+/// when the runner was lost is a suspect. When it starts again it is isolated: on a runner where
+/// nothing else has started recently, and where nothing else starts for a while. If this runner
+/// crashes too, the crash is attributed to the task, unless many runners without an isolated
+/// suspect were lost at the same time. A run that survives its first moments clears its task.
 ///
 /// The counts are stored with the job's progress, so that a successor continues them.
 #include "runs.h"
@@ -23,49 +23,31 @@
 
 bool may_have_crashed(const runner_record& r, const run& each)
 {
-    return r.last_alive.seen_at - each.ordered_at <= config::crash_window;
+    if (each.has_survived_start) {
+        return false;
+    }
+    return !each.started_by ||
+           r.last_alive.shown.ms - each.started_by->ms <= config::crash_window.count;
 }
 
 bool may_coincide(const runner_loss& a, const runner_loss& b)
 {
-    return a.after <= b.before + config::crash_coincidence &&
-           b.after <= a.before + config::crash_coincidence;
+    return a.alive_at <= b.noticed_at + config::crash_coincidence &&
+           b.alive_at <= a.noticed_at + config::crash_coincidence;
 }
 
-bool share_suspect(const runner_loss& a, const runner_loss& b)
-{
-    return std::any_of(a.suspects.begin(), a.suspects.end(), [&b](const job_id& each) {
-        return std::find(b.suspects.begin(), b.suspects.end(), each) != b.suspects.end();
-    });
-}
-
-/// \return true if the runners lost at about the same time show a cause outside the tasks. Losses
-/// that an isolated suspect explains show nothing.
+/// \return true if so many other runners were lost at about the same time that they must have an
+/// outside cause. Losses that an isolated suspect explains do not show one.
 bool has_outside_cause(const context& c, const runner_loss& loss)
 {
     const scheduler_state& s = c.s.scheduler;
-    std::size_t unrelated{loss.is_attributed ? 0U : 1U};
-    for (const runner_loss& other : s.recent_losses) {
-        if (other.runner == loss.runner || other.is_attributed || !may_coincide(loss, other)) {
-            continue;
-        }
-        if (other.suspects.empty()) {
-            return true;
-        }
-        unrelated += share_suspect(loss, other) ? 0 : 1;
-    }
-    return unrelated >= config::min_common_crashes &&
-           unrelated * 100 >= s.runners.size() * config::min_common_crashes_percent;
-}
-
-/// \return the newest loss of the runner, or null if none is recorded.
-const runner_loss* last_loss(const context& c, const runner_id& runner)
-{
-    const auto& losses = c.s.scheduler.recent_losses;
-    const auto found =
-        std::find_if(losses.rbegin(), losses.rend(),
-                     [&runner](const runner_loss& each) { return each.runner == runner; });
-    return found == losses.rend() ? nullptr : &*found;
+    const auto unexplained = static_cast<std::size_t>(std::count_if(
+        s.recent_losses.begin(), s.recent_losses.end(), [&loss](const runner_loss& other) {
+            return other.runner != loss.runner && !other.has_isolated_suspect &&
+                   may_coincide(loss, other);
+        }));
+    return unexplained >= config::min_common_losses &&
+           unexplained * 100 >= s.runners.size() * config::min_common_losses_percent;
 }
 
 void forget_old_losses(const context& c)
@@ -73,37 +55,39 @@
     // By then the runner has answered or its leases have expired.
     const millis keep_time = longest_lease(c.s) * 2;
     auto& losses = c.s.scheduler.recent_losses;
-    while (!losses.empty() && c.now - losses.front().before > keep_time) {
+    while (!losses.empty() && c.now - losses.front().noticed_at > keep_time) {
         losses.pop_front();
     }
 }
 
-/// What a crash says about a suspect.
-struct suspicion {
-    /// The crash is held against it.
-    bool counts{false};
-    bool is_only_suspect{false};
-};
+void give_up_if_proved(const context& c, const graph_task_id& id, task_ref ref)
+{
+    const crash_counts& counts = ref.task->crashes;
+    const bool is_proved = counts.attributed >= config::attributed_crashes_to_give_up ||
+                           counts.possible >= config::possible_crashes_to_give_up;
+    if (is_proved) {
+        end_job(c, *ref.job, job_state::failed,
+                absl::StrCat("task ", to_string(id), " crashed ", counts.possible, " runners"));
+    }
+}
 
-void suspect_task(const context& c, const runner_record& r, const graph_task_id& id, task_ref ref,
-                  suspicion how)
+void count_for_suspect(const context& c, const runner_record& r, const graph_task_id& id,
+                       bool is_attributed)
 {
-    ref.task->is_suspect = true;
-    ref.task->crashes += how.counts ? 1 : 0;
-    c.log("task_suspected", {{"task", to_string(id)},
-                             {"runner", r.entry.id.value},
-                             {"crashes", absl::StrCat(ref.task->crashes)},
-                             {"counts", how.counts ? "true" : "false"},
-                             {"only_suspect", how.is_only_suspect ? "true" : "false"}});
-    if (!how.counts) {
+    const task_ref ref = find_task(c.s, id);
+    const bool is_lost = ref && !ref.task->current_run && ref.task->status != task_status::done;
+    if (!is_lost || ref.job->has_ended()) {
         return;
     }
+    crash_counts& counts = ref.task->crashes;
+    ++counts.possible;
+    counts.attributed += is_attributed ? 1 : 0;
     mark_changed(c, *ref.job);
-    const std::uint32_t limit = config::crashes_to_give_up + (how.is_only_suspect ? 0 : 1);
-    if (ref.task->crashes >= limit) {
-        end_job(c, *ref.job, job_state::failed,
-                absl::StrCat("task ", to_string(id), " crashed ", ref.task->crashes, " runners"));
-    }
+    c.log("task_suspected", {{"task", to_string(id)},
+                             {"runner", r.entry.id.value},
+                             {"possible_crashes", absl::StrCat(counts.possible)},
+                             {"attributed_crashes", absl::StrCat(counts.attributed)}});
+    give_up_if_proved(c, id, ref);
 }
 
 } // namespace
@@ -120,36 +104,65 @@
     return suspects;
 }
 
-void record_runner_loss(const context& c, const runner_record& r)
+void record_runner_loss(const context& c, runner_record& r)
 {
     forget_old_losses(c);
+    r.loss.reset();
     if (r.entry.draining) {
         return;
     }
-    runner_loss loss{r.entry.id, r.last_alive.seen_at, c.now, {}, false};
+    // A hold that broke shows that the runner was up until then.
+    const bool has_broken = r.hold_times_out_at > c.now + config::crash_coincidence;
     const std::vector<graph_task_id> suspects = crash_suspects(c, r);
-    for (const graph_task_id& id : suspects) {
-        loss.suspects.push_back(id.job);
-    }
-    loss.is_attributed =
+    const bool has_isolated_suspect =
         suspects.size() == 1 && find_task(c.s, suspects[0]).task->current_run->is_isolated;
-    c.s.scheduler.recent_losses.push_back(std::move(loss));
+    r.loss = runner_loss{r.entry.id, has_broken ? c.now : r.last_alive.seen_at, c.now,
+                         has_isolated_suspect};
+    c.s.scheduler.recent_losses.push_back(*r.loss);
 }
 
-void count_crash(const context& c, const runner_record& r,
-                 const std::vector<graph_task_id>& suspects)
+void count_crash(const context& c, runner_record& r, const std::vector<graph_task_id>& suspects)
 {
-    const runner_loss* const loss = last_loss(c, r.entry.id);
-    if (loss == nullptr || r.entry.draining) {
+    if (!r.loss) {
         return;
     }
-    const suspicion how{!has_outside_cause(c, *loss), suspects.size() == 1};
+    const bool is_attributed = r.loss->has_isolated_suspect && !has_outside_cause(c, *r.loss);
     for (const graph_task_id& id : suspects) {
-        const task_ref ref = find_task(c.s, id);
-        const bool is_lost = ref && !ref.task->current_run && ref.task->status != task_status::done;
-        if (is_lost && !ref.job->has_ended()) {
-            suspect_task(c, r, id, ref, how);
-        }
+        count_for_suspect(c, r, id, is_attributed);
+    }
+}
+
+bool begin_suspect_run(const context& c, const graph_task_id& id, task_ref ref)
+{
+    crash_counts& counts = ref.task->crashes;
+    if (counts.possible == 0) {
+        return true;
+    }
+    counts.possible += counts.has_open_run ? 1 : 0;
+    counts.has_open_run = true;
+    mark_changed(c, *ref.job);
+    give_up_if_proved(c, id, ref);
+    return !ref.job->has_ended();
+}
+
+void end_suspect_run(const context& c, task_ref ref)
+{
+    if (ref.task->crashes.has_open_run) {
+        ref.task->crashes.has_open_run = false;
+        mark_changed(c, *ref.job);
+    }
+}
+
+void clear_suspicion_if_survived(const context& c, const runner_record& r, task_ref ref)
+{
+    run& current = *ref.task->current_run;
+    if (current.has_survived_start || may_have_crashed(r, current)) {
+        return;
+    }
+    current.has_survived_start = true;
+    if (ref.task->crashes.possible > 0) {
+        ref.task->crashes = {};
+        mark_changed(c, *ref.job);
     }
 }
 
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -150,22 +150,29 @@
 void release_run(const context& c, const graph_task_id& id, task_ref ref);
 /// Repeats failed stop orders on the runner whose retry is due.
 void retry_failed_stops(const context& c, runner_record& r);
-/// Marks all runs on a runner as lost, after the runner's incarnation ended or its leases expired.
-void mark_all_runs_lost(const context& c, runner_record& r, const std::string& cause);
+/// Why no run of a runner can exist any more.
+enum class loss_evidence : std::uint8_t { other_incarnation, leases_expired };
+/// Marks all runs on a runner as lost.
+void mark_all_runs_lost(const context& c, runner_record& r, loss_evidence evidence);
 /// Marks runs as lost if a restarted runner does not report them. A run whose start was confirmed
 /// after the hold was sent is stopped instead, as the report may predate it.
 void drop_unreported_runs(const context& c, runner_record& r, const runner_hold_ended& report);
 
 // ---- crashes.cpp: tasks that crash their runners
 /// Records that a runner stopped answering.
-void record_runner_loss(const context& c, const runner_record& r);
+void record_runner_loss(const context& c, runner_record& r);
 /// \return the tasks whose current runs may have crashed the runner.
 std::vector<graph_task_id> crash_suspects(const context& c, const runner_record& r);
-/// Marks each of the tasks whose run was lost with the runner as a suspect. Unless the crash may
-/// have an outside cause, counts it for them and gives up tasks that crashed too many runners. No
-/// effect if the runner was leaving.
-void count_crash(const context& c, const runner_record& r,
-                 const std::vector<graph_task_id>& suspects);
+/// Counts the crash of a runner for the suspects whose runs were lost with it, and gives up tasks
+/// that certainly crash their runners. No effect if the runner was leaving.
+void count_crash(const context& c, runner_record& r, const std::vector<graph_task_id>& suspects);
+/// Records that a suspect is about to start; no effect on other tasks.
+/// \return false if its last run was lost with the holder of the lease, and the task is given up.
+bool begin_suspect_run(const context& c, const graph_task_id& id, task_ref ref);
+/// Records that the outcome of a suspect's run is known.
+void end_suspect_run(const context& c, task_ref ref);
+/// Clears the suspicion against the task once its current run has survived its start.
+void clear_suspicion_if_survived(const context& c, const runner_record& r, task_ref ref);
 
 // ---- run_reports.cpp: processing of runner reports
 void process_reported_end(const context& c, runner_record& r, const reported_end& e);
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -96,10 +96,10 @@
 /// Score of a runner for a task. Compared member by member in this order; higher is better.
 struct placement_score {
     bool is_other_than_failed{false};
-    /// Only for tasks that may crash their runner: no other run there could have caused the crash,
-    /// and the negative number of runs that would be lost.
+    /// Only for suspects: no other run there could have caused a crash, and the negative number of
+    /// runs that a crash would take down.
     bool is_crash_attributable{false};
-    std::int64_t exposed_runs{0};
+    std::int64_t negative_exposed_runs{0};
     bool is_near_data{false};
     bool is_benign{false};
     std::int64_t spare_capacity{0};
@@ -122,9 +122,9 @@
     const graph_step& step = *ref.step;
     placement_score s;
     s.is_other_than_failed = r.entry.id != ref.task->failed_on;
-    if (ref.task->is_suspect) {
+    if (ref.task->crashes.possible > 0) {
         s.is_crash_attributable = crash_suspects(c, r).empty();
-        s.exposed_runs = -static_cast<std::int64_t>(r.runs.size());
+        s.negative_exposed_runs = -static_cast<std::int64_t>(r.runs.size());
     }
     s.is_near_data = step.data_rack.empty() || has_label(r.entry, step.data_rack);
     s.is_benign = step.is_service || !is_antagonist(c.s, r, ref);
@@ -150,7 +150,9 @@
                 runner_requirement requirement = runner_requirement::full_speed)
 {
     const task_ref ref = find_task(c.s, id);
-    const bool is_startable = ref.task->status == task_status::ready && !ref.task->current_run;
+    // The job may have ended in this round, see `begin_suspect_run`.
+    const bool is_startable =
+        ref.task->status == task_status::ready && !ref.task->current_run && !ref.job->has_ended();
     if (!is_startable || may_run_unreported(c, ref, *ref.task)) {
         return true;
     }
@@ -158,7 +160,9 @@
     if (r == nullptr) {
         return false;
     }
-    start_run(c, id, ref, *r, next_run_number(c, *ref.task));
+    if (begin_suspect_run(c, id, ref)) {
+        start_run(c, id, ref, *r, next_run_number(c, *ref.task));
+    }
     return true;
 }
 
--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -37,7 +37,9 @@
     return "";
 }
 
-void on_start_done(const context& c, const graph_task_id& id, task_ref ref, runner_record& r)
+/// \param clock the runner's clock when it answered the order.
+void on_start_done(const context& c, const graph_task_id& id, task_ref ref, runner_record& r,
+                   const std::optional<remote_instant>& clock)
 {
     run& started = *ref.task->current_run;
     if (started.runner_may_have_restarted) {
@@ -45,6 +47,7 @@
         return;
     }
     started.start_confirmed_at_hold = r.holds_sent;
+    started.started_by = clock;
     if (started.phase == run_phase::starting) {
         started.phase = run_phase::running;
         mark_job_started(c, *ref.job);
@@ -65,7 +68,7 @@
                 record_runner_loss(c, *r);
             }
             r->is_responsive = false;
-            mark_all_runs_lost(c, *r, "another incarnation answers at the runner's address");
+            mark_all_runs_lost(c, *r, loss_evidence::other_incarnation);
         }
         return;
     }
@@ -98,7 +101,7 @@
         return;
     }
     if (e.result == order_result::done) {
-        on_start_done(c, e.task, ref, *r);
+        on_start_done(c, e.task, ref, *r, e.clock);
         return;
     }
     log_run(c, "start_uncertain", e.task, started, name_of(e.result));
--- a/src/central/run_reports.cpp
+++ b/src/central/run_reports.cpp
@@ -107,6 +107,7 @@
     adopted.ordered_at = c.now;
     adopted.start_confirmed_at_hold = r.holds_sent;
     adopted.pace = unknown_pace;
+    adopted.has_survived_start = ref.task->crashes.possible == 0;
     ref.task->last_run = std::max(ref.task->last_run, reported.run);
     attach_run(ref, r, reported.task, adopted);
     // Nobody can tell how long services have missed their targets beside it.
@@ -127,6 +128,10 @@
     run& known = *ref.task->current_run;
     known.load = reported.load;
     known.progress = reported.percent;
+    if (!known.started_by) {
+        known.started_by = r.last_alive.shown;
+    }
+    clear_suspicion_if_survived(c, r, ref);
     if (!reported.checkpoint.empty()) {
         ref.task->checkpoint = reported.checkpoint;
     }
@@ -181,6 +186,7 @@
         detach_run(c, ref, &r, e.task);
     }
     ref.task->last_run = std::max(ref.task->last_run, e.run);
+    end_suspect_run(c, ref);
     if (!e.checkpoint.empty() && ref.task->status != task_status::done) {
         ref.task->checkpoint = e.checkpoint;
     }
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -55,6 +55,7 @@
         has_current_clock && r.acknowledged > r.acknowledgement_delivered;
     r.acknowledgement_sent = is_new_acknowledgement ? r.acknowledged : 0;
     r.hold_in_flight = true;
+    r.hold_times_out_at = c.now + wait + config::runner_timeout;
     ++r.holds_sent;
     c.add(runner_hold{r.entry.id, r.entry.address, c.s.lease.term, until, r.acknowledgement_sent,
                       wait, wait + config::runner_timeout});
@@ -99,7 +100,7 @@
     }
     r.is_responsive = false;
     if (result == order_result::other_incarnation) {
-        mark_all_runs_lost(c, r, "another incarnation answers at the runner's address");
+        mark_all_runs_lost(c, r, loss_evidence::other_incarnation);
         r.leases_expire_by = c.now;
     }
     const millis backoff = config::hold_retry * std::min<std::int64_t>(r.holds_failed, 5);
@@ -196,7 +197,7 @@
     const bool has_expired = !r.is_responsive && !r.runs.empty() && r.holds_failed > 0 &&
                              c.s.lease.renewed_at > r.leases_expire_by;
     if (has_expired) {
-        mark_all_runs_lost(c, r, "the leases expired while the runner did not answer");
+        mark_all_runs_lost(c, r, loss_evidence::leases_expired);
     }
 }
 
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -173,6 +173,7 @@
         unreserve_run(*r, ref, id);
     }
     ref.task->current_run.reset();
+    end_suspect_run(c, ref);
     if (--ref.job->active_runs == 0) {
         ref.job->idle_since = c.now;
     }
@@ -189,7 +190,7 @@
     started.number = number;
     started.ordered_at = c.now;
     started.start_in_flight = true;
-    started.is_isolated = ref.task->is_suspect && crash_suspects(c, r).empty();
+    started.is_isolated = ref.task->crashes.possible > 0 && crash_suspects(c, r).empty();
     attach_run(ref, r, id, started);
     if (ref.step->uses_leftover) {
         update_expected_disturbance(c, r);
@@ -200,7 +201,7 @@
     order.checkpoint = ref.task->checkpoint;
     order.lease_until = grant_lease(c, r).value_or(remote_instant{});
     log_run(c, "run_started", id, started, order.checkpoint.empty() ? "fresh" : "resumed");
-    if (ref.task->is_suspect) {
+    if (ref.task->crashes.possible > 0) {
         r.probation_until = c.now + config::crash_probation;
         c.wake_by(*r.probation_until);
     }
@@ -261,8 +262,11 @@
     }
 }
 
-void mark_all_runs_lost(const context& c, runner_record& r, const std::string& cause)
+void mark_all_runs_lost(const context& c, runner_record& r, loss_evidence evidence)
 {
+    const bool has_restarted = evidence == loss_evidence::other_incarnation;
+    const std::string cause = has_restarted ? "another incarnation answers at the runner's address"
+                                            : "the leases expired while the runner did not answer";
     const std::vector<graph_task_id> lost_runs{r.runs.begin(), r.runs.end()};
     const std::vector<graph_task_id> suspects = crash_suspects(c, r);
     for (const graph_task_id& id : lost_runs) {
@@ -272,7 +276,10 @@
         }
     }
     r.orphans.clear();
-    count_crash(c, r, suspects);
+    // A runner that is still registered may only be cut off.
+    if (has_restarted || !r.listed) {
+        count_crash(c, r, suspects);
+    }
 }
 
 void drop_unreported_runs(const context& c, runner_record& r, const runner_hold_ended& report)
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -142,6 +142,8 @@
     /// Tasks that crash each runner that starts them; the runner is back after `crash_downtime`.
     std::set<graph_task_id> crashing_tasks;
     static constexpr millis crash_downtime{4'000};
+    /// A crash breaks the runner's connections; otherwise it is noticed by time-outs.
+    bool crash_breaks_connections{true};
     /// \return the number of runners that a task has crashed.
     [[nodiscard]] std::uint32_t crashes_by(const graph_task_id& task) const
     {
@@ -251,6 +253,8 @@
     std::vector<entry_vm> vms_;
     std::vector<fake_runner> runners_;
     std::vector<bool> listed_;
+    /// Runners that are down after a crash.
+    std::set<std::size_t> crashed_runners_;
     std::map<table_key, stored_row> rows_;
     row_version last_version_{0};
     operator_configuration operators_;
