Lease: a claim whose answer was lost is released after SIGTERM too

Cause: a VM that stops claims nothing any more, so a claim that took effect without an answer stayed until the lease ran out. Now the row that the feed shows is released. A VM that releases the lease reads no jobs either.

--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -184,6 +184,19 @@
     }
 }
 
+/// Releases a lease that this process holds by a claim whose answer was lost.
+void release_unconfirmed_claim(const context& c)
+{
+    lease_state& l = c.s.lease;
+    const bool holds_unconfirmed =
+        l.current_role == role::follower && is_held_by_this_process(c.s) && !l.row->released;
+    if (holds_unconfirmed && !l.renewal_in_flight && c.now >= l.retry_at) {
+        l.term = l.row->term;
+        l.retry_at = c.now + config::lease_retry;
+        send_lease(c, {}, true);
+    }
+}
+
 } // namespace
 
 bool may_send_orders(const context& c)
@@ -292,8 +305,11 @@
         renew_when_due(c);
         return;
     }
-    const bool may_claim =
-        l.current_role == role::follower && l.was_read && c.s.store_is_reachable && !c.s.stopping;
+    if (c.s.stopping) {
+        release_unconfirmed_claim(c);
+        return;
+    }
+    const bool may_claim = l.current_role == role::follower && l.was_read && c.s.store_is_reachable;
     if (!may_claim) {
         return;
     }
--- a/src/central/loading.cpp
+++ b/src/central/loading.cpp
@@ -312,7 +312,7 @@
                                    {"idle_ms", absl::StrCat((c.now - l.last_progress_at).count)}});
         begin_release(c);
     }
-    else {
+    else if (!c.s.lease.releasing) {
         read_next_page(c);
     }
 }
--- a/tests/test_central_takeover.cpp
+++ b/tests/test_central_takeover.cpp
@@ -175,6 +175,26 @@
     }
 }
 
+/// The claim took effect, but its answer was lost: nobody released the lease.
+Test(central_takeover, claim_without_an_answer_is_released_after_sigterm)
+{
+    central_world w{{}};
+    constexpr std::size_t winner{0};
+    while (w.state_of(winner).lease.current_role != role::reading_head) {
+        w.run_for({1});
+    }
+    w.faults.lost_commits = 1;
+    while (w.state_of(winner).lease.current_role != role::claiming) {
+        w.run_for({1});
+    }
+    w.run_for({1});
+    w.faults.lost_commits = 0;
+    w.stop_gracefully(winner);
+    const millis gap = time_without_scheduler(w, winner);
+    // The claim is answered by its time-out of 1.5 s only.
+    cr_expect_leq(gap.count, 2'500, "no scheduler for %ld ms", static_cast<long>(gap.count));
+}
+
 /// The same situation, seen by a caller: the job is accepted before its timeout.
 Test(central_takeover, callers_are_served_after_a_shutdown_during_a_renewal)
 {
