Crashes: waves do not count, even for isolated tasks that start between them

Cause: lost tasks start again as the next wave comes, so some were hit four times soon after their starts, and four possible crashes gave them up.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -99,7 +99,9 @@
 
 /// Runners that crashed soon after they had started a task; see crashes.cpp.
 struct crash_counts {
-    /// The task may have caused it. A task for which this is not 0 is a suspect.
+    /// A runner crashed soon after it had started the task, whatever else may explain that.
+    bool is_suspect{false};
+    /// Crashes that the task may have caused, as no outside cause shows.
     std::uint32_t possible{0};
     /// Of these, crashes that nothing else explains.
     std::uint32_t attributed{0};
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -161,8 +161,8 @@
 template <typename Archive>
 void serialize(Archive& archive, stored_crashes& c)
 {
-    archive(c.occurrence, c.step, c.index, c.counts.possible, c.counts.attributed,
-            c.counts.has_open_run);
+    archive(c.occurrence, c.step, c.index, c.counts.is_suspect, c.counts.possible,
+            c.counts.attributed, c.counts.has_open_run);
 }
 
 /// Processes that do not know `crashes` read what precedes it and ignore the rest of the row.
@@ -256,7 +256,7 @@
         for (std::uint32_t step{0}; step < steps.size(); ++step) {
             const auto& tasks = steps[step].tasks;
             for (std::uint32_t i{0}; i < tasks.size(); ++i) {
-                if (tasks[i].crashes.possible > 0) {
+                if (tasks[i].crashes.is_suspect) {
                     crashes.push_back({k, step, i, tasks[i].crashes});
                 }
             }
--- a/src/central/crashes.cpp
+++ b/src/central/crashes.cpp
@@ -7,8 +7,9 @@
 /// A run that crashes its runner does so soon after its start. A task whose run had just started
 /// when the runner was lost is a suspect. When it starts again it is isolated: on a runner where
 /// nothing else has started recently, and where nothing else starts for a while. If this runner
-/// crashes too, the crash is attributed to the task, unless many runners without an isolated
-/// suspect were lost at the same time. A run that survives its first moments clears its task.
+/// crashes too, the crash is attributed to the task. No crash counts for anybody if many runners
+/// without an isolated suspect were lost at the same time. A run that survives its first moments
+/// clears its task.
 ///
 /// The counts are stored with the job's progress, so that a successor continues them.
 #include "runs.h"
@@ -71,8 +72,22 @@
     }
 }
 
+/// How a crash counts for a suspect.
+enum class crash_blame : std::uint8_t { outside_cause, possible, attributed };
+
+crash_blame blame_for(const context& c, const runner_loss& loss)
+{
+    if (!has_outside_cause(c, loss)) {
+        return loss.has_isolated_suspect ? crash_blame::attributed : crash_blame::possible;
+    }
+    // If the time of the loss is not known well, others may seem to coincide.
+    const bool is_vague = loss.noticed_at - loss.alive_at > config::crash_coincidence;
+    return loss.has_isolated_suspect && is_vague ? crash_blame::possible
+                                                 : crash_blame::outside_cause;
+}
+
 void count_for_suspect(const context& c, const runner_record& r, const graph_task_id& id,
-                       bool is_attributed)
+                       crash_blame blame)
 {
     const task_ref ref = find_task(c.s, id);
     const bool is_lost = ref && !ref.task->current_run && ref.task->status != task_status::done;
@@ -80,8 +95,9 @@
         return;
     }
     crash_counts& counts = ref.task->crashes;
-    ++counts.possible;
-    counts.attributed += is_attributed ? 1 : 0;
+    counts.is_suspect = true;
+    counts.possible += blame == crash_blame::outside_cause ? 0 : 1;
+    counts.attributed += blame == crash_blame::attributed ? 1 : 0;
     mark_changed(c, *ref.job);
     c.log("task_suspected", {{"task", to_string(id)},
                              {"runner", r.entry.id.value},
@@ -126,16 +142,16 @@
     if (!r.loss) {
         return;
     }
-    const bool is_attributed = r.loss->has_isolated_suspect && !has_outside_cause(c, *r.loss);
+    const crash_blame blame = blame_for(c, *r.loss);
     for (const graph_task_id& id : suspects) {
-        count_for_suspect(c, r, id, is_attributed);
+        count_for_suspect(c, r, id, blame);
     }
 }
 
 bool begin_suspect_run(const context& c, const graph_task_id& id, task_ref ref)
 {
     crash_counts& counts = ref.task->crashes;
-    if (counts.possible == 0) {
+    if (!counts.is_suspect) {
         return true;
     }
     counts.possible += counts.has_open_run ? 1 : 0;
@@ -160,7 +176,7 @@
         return;
     }
     current.has_survived_start = true;
-    if (ref.task->crashes.possible > 0) {
+    if (ref.task->crashes.is_suspect) {
         ref.task->crashes = {};
         mark_changed(c, *ref.job);
     }
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -122,7 +122,7 @@
     const graph_step& step = *ref.step;
     placement_score s;
     s.is_other_than_failed = r.entry.id != ref.task->failed_on;
-    if (ref.task->crashes.possible > 0) {
+    if (ref.task->crashes.is_suspect) {
         s.is_crash_attributable = crash_suspects(c, r).empty();
         s.negative_exposed_runs = -static_cast<std::int64_t>(r.runs.size());
     }
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -190,7 +190,7 @@
     started.number = number;
     started.ordered_at = c.now;
     started.start_in_flight = true;
-    started.is_isolated = ref.task->crashes.possible > 0 && crash_suspects(c, r).empty();
+    started.is_isolated = ref.task->crashes.is_suspect && crash_suspects(c, r).empty();
     attach_run(ref, r, id, started);
     if (ref.step->uses_leftover) {
         update_expected_disturbance(c, r);
@@ -201,7 +201,7 @@
     order.checkpoint = ref.task->checkpoint;
     order.lease_until = grant_lease(c, r).value_or(remote_instant{});
     log_run(c, "run_started", id, started, order.checkpoint.empty() ? "fresh" : "resumed");
-    if (ref.task->crashes.possible > 0) {
+    if (ref.task->crashes.is_suspect) {
         r.probation_until = c.now + config::crash_probation;
         c.wake_by(*r.probation_until);
     }
--- a/tests/test_daemon_central_peers.cpp
+++ b/tests/test_daemon_central_peers.cpp
@@ -37,6 +37,7 @@
         }
     }
     central::call_handle next_handle() override { return {1}; }
+    [[nodiscard]] bool is_stopping() const override { return false; }
     [[nodiscard]] bool is_ready() const override { return true; }
 
     std::optional<central::peer_call_ended> end;
