Crashes: the culprit is found on busy runners too

After a recovery all waiting tasks start at one moment, so no runner is free of other recent starts: suspects were never isolated, their crashes together looked like an outside cause, and all started again together.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -82,7 +82,7 @@
     std::uint64_t start_confirmed_at_hold{0};
     /// The runner's clock when it certainly executed the run; empty until then.
     std::optional<remote_instant> started_by;
-    /// It was started as a suspect where no other run could crash the runner, see crashes.cpp.
+    /// It was started as a suspect, and nothing else after it for a while; see crashes.cpp.
     bool is_isolated{false};
     /// It has worked for longer than `crash_window`, or was adopted.
     bool has_survived_start{false};
@@ -227,8 +227,12 @@
     /// Last time at which it was known to be up, and when the loss was noticed.
     instant alive_at;
     instant noticed_at;
-    /// The only run that may have crashed it is isolated.
-    bool has_isolated_suspect{false};
+    /// No run may have crashed it.
+    bool is_unexplained{false};
+    /// The suspect that must have crashed it, unless an outside cause did.
+    std::optional<graph_task_id> culprit;
+    /// The culprit was ordered no longer than `prompt_crash_time` before.
+    bool is_prompt{false};
 };
 
 struct runner_record {
--- a/src/central/crashes.cpp
+++ b/src/central/crashes.cpp
@@ -5,11 +5,11 @@
 /// tasks on a crashed runner did nothing wrong and must not be.
 ///
 /// A run that crashes its runner does so soon after its start. A task whose run had just started
-/// when the runner was lost is a suspect. When it starts again it is isolated: on a runner where
-/// nothing else has started recently, and where nothing else starts for a while. If this runner
-/// crashes too, the crash is attributed to the task. No crash counts for anybody if many runners
-/// without an isolated suspect were lost at the same time. A run that survives its first moments
-/// clears its task.
+/// when the runner was lost is a suspect. When it starts again it is isolated: if possible on a
+/// runner where nothing else has started recently, and nothing else starts there for a while. If
+/// this runner crashes too, the crash is attributed to the task. No crash counts for anybody if
+/// many runners without such a culprit were lost at the same time. A run that survives its first
+/// moments clears its task.
 ///
 /// The counts are stored with the job's progress, so that a successor continues them.
 #include "runs.h"
@@ -37,18 +37,33 @@
            b.alive_at <= a.noticed_at + config::crash_coincidence;
 }
 
+/// \return the number of other losses at about the same time for which `matches` holds.
+template <typename Predicate>
+std::size_t count_coinciding(const context& c, const runner_loss& loss, Predicate matches)
+{
+    const auto& losses = c.s.scheduler.recent_losses;
+    return static_cast<std::size_t>(
+        std::count_if(losses.begin(), losses.end(), [&](const runner_loss& other) {
+            return other.runner != loss.runner && may_coincide(loss, other) && matches(other);
+        }));
+}
+
 /// \return true if so many other runners were lost at about the same time that they must have an
-/// outside cause. Losses that an isolated suspect explains do not show one.
+/// outside cause. Losses with a culprit do not show one. Neither do others if this one followed its
+/// culprit's start at once: they are probably tasks that crash their runners, too.
 bool has_outside_cause(const context& c, const runner_loss& loss)
 {
-    const scheduler_state& s = c.s.scheduler;
-    const auto unexplained = static_cast<std::size_t>(std::count_if(
-        s.recent_losses.begin(), s.recent_losses.end(), [&loss](const runner_loss& other) {
-            return other.runner != loss.runner && !other.has_isolated_suspect &&
-                   may_coincide(loss, other);
-        }));
-    return unexplained >= config::min_common_losses &&
-           unexplained * 100 >= s.runners.size() * config::min_common_losses_percent;
+    const std::size_t others =
+        count_coinciding(c, loss, [](const runner_loss& other) { return !other.culprit; });
+    const bool are_many =
+        others >= config::min_common_losses &&
+        others * 100 >= c.s.scheduler.runners.size() * config::min_common_losses_percent;
+    if (!are_many || !loss.is_prompt) {
+        return are_many;
+    }
+    const std::size_t unexplained =
+        count_coinciding(c, loss, [](const runner_loss& other) { return other.is_unexplained; });
+    return unexplained >= config::min_unexplained_losses;
 }
 
 void forget_old_losses(const context& c)
@@ -78,12 +93,11 @@
 crash_blame blame_for(const context& c, const runner_loss& loss)
 {
     if (!has_outside_cause(c, loss)) {
-        return loss.has_isolated_suspect ? crash_blame::attributed : crash_blame::possible;
+        return loss.culprit ? crash_blame::attributed : crash_blame::possible;
     }
     // If the time of the loss is not known well, others may seem to coincide.
     const bool is_vague = loss.noticed_at - loss.alive_at > config::crash_coincidence;
-    return loss.has_isolated_suspect && is_vague ? crash_blame::possible
-                                                 : crash_blame::outside_cause;
+    return loss.culprit && is_vague ? crash_blame::possible : crash_blame::outside_cause;
 }
 
 void count_for_suspect(const context& c, const runner_record& r, const graph_task_id& id,
@@ -106,6 +120,26 @@
     give_up_if_proved(c, id, ref);
 }
 
+/// Sets the culprit of a loss: the only suspect if it was isolated, or the only isolated one if the
+/// runner was lost at once after its start.
+void find_culprit(const context& c, runner_loss& loss, const std::vector<graph_task_id>& suspects)
+{
+    std::size_t isolated{0};
+    for (const graph_task_id& id : suspects) {
+        const run& each = *find_task(c.s, id).task->current_run;
+        if (each.is_isolated) {
+            ++isolated;
+            loss.culprit = id;
+            loss.is_prompt = c.now - each.ordered_at <= config::prompt_crash_time;
+        }
+    }
+    const bool is_certain = isolated == 1 && (suspects.size() == 1 || loss.is_prompt);
+    if (!is_certain) {
+        loss.culprit.reset();
+        loss.is_prompt = false;
+    }
+}
+
 } // namespace
 
 std::vector<graph_task_id> crash_suspects(const context& c, const runner_record& r)
@@ -130,10 +164,13 @@
     // A hold that broke shows that the runner was up until then.
     const bool has_broken = r.hold_times_out_at > c.now + config::crash_coincidence;
     const std::vector<graph_task_id> suspects = crash_suspects(c, r);
-    const bool has_isolated_suspect =
-        suspects.size() == 1 && find_task(c.s, suspects[0]).task->current_run->is_isolated;
-    r.loss = runner_loss{r.entry.id, has_broken ? c.now : r.last_alive.seen_at, c.now,
-                         has_isolated_suspect};
+    runner_loss loss;
+    loss.runner = r.entry.id;
+    loss.alive_at = has_broken ? c.now : r.last_alive.seen_at;
+    loss.noticed_at = c.now;
+    loss.is_unexplained = suspects.empty();
+    find_culprit(c, loss, suspects);
+    r.loss = loss;
     c.s.scheduler.recent_losses.push_back(*r.loss);
 }
 
@@ -144,7 +181,10 @@
     }
     const crash_blame blame = blame_for(c, *r.loss);
     for (const graph_task_id& id : suspects) {
-        count_for_suspect(c, r, id, blame);
+        const bool is_blamed = blame != crash_blame::attributed || id == *r.loss->culprit;
+        if (is_blamed) {
+            count_for_suspect(c, r, id, blame);
+        }
     }
 }
 
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -190,7 +190,7 @@
     started.number = number;
     started.ordered_at = c.now;
     started.start_in_flight = true;
-    started.is_isolated = ref.task->crashes.is_suspect && crash_suspects(c, r).empty();
+    started.is_isolated = ref.task->crashes.is_suspect;
     attach_run(ref, r, id, started);
     if (ref.step->uses_leftover) {
         update_expected_disturbance(c, r);
--- a/tests/test_central_crashes.cpp
+++ b/tests/test_central_crashes.cpp
@@ -97,6 +97,28 @@
     expect_no_violation(w);
 }
 
+/// Where something starts on every runner all the time, no task was ever alone, and several tasks
+/// that crashed their runners together never counted.
+Test(central_crashes, tasks_that_crash_runners_together_are_given_up_on_busy_runners)
+{
+    constexpr std::uint64_t guilty{5};
+    constexpr std::uint64_t jobs{400};
+    central_world w{{.runners = 10}};
+    w.run_for(warm_up);
+    submit_steadily(w, 1, 20, {30});
+    for (std::uint64_t n{0}; n < guilty; ++n) {
+        graph_task_id task{crashing_task};
+        task.job.value = id_of(crashing_job + n);
+        w.crashing_tasks.insert(task);
+        w.submit(0, central_world::make_job(task.job.value, 1, 1, {900}));
+    }
+    submit_steadily(w, 21, jobs - 20, {100});
+    w.run_for({20'000});
+    cr_expect_eq(count_jobs(w, crashing_job, guilty, job_state::failed), guilty);
+    cr_expect_eq(count_jobs(w, 1, jobs, job_state::completed), jobs);
+    expect_no_violation(w);
+}
+
 Test(central_crashes, service_that_crashes_its_runners_is_given_up)
 {
     central_world w{{.runners = 8}};
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -27,6 +27,7 @@
     void post(central::event /*e*/) override {}
     central::call_handle next_handle() override { return {1}; }
     [[nodiscard]] bool is_ready() const override { return true; }
+    [[nodiscard]] bool is_stopping() const override { return false; }
 };
 
 /// A page with one row.
