--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -104,13 +104,13 @@
 /// Runners that are lost within this time of each other may have been lost for a common reason.
 inline constexpr millis crash_coincidence{300};
 /// An outside cause is assumed if at least this many other runners, and this share of all, are lost
-/// at the same time without an isolated suspect. The share decides from 60 runners on.
+/// at the same time without a culprit. The share decides from 60 runners on.
 inline constexpr std::size_t min_common_losses{3};
+inline constexpr std::size_t min_common_losses_percent{5};
 /// A suspect whose runner is lost within this time of its order is to blame all the same, unless at
 /// least this many other losses have no suspect at all.
 inline constexpr millis prompt_crash_time{100};
 inline constexpr std::size_t min_unexplained_losses{2};
-inline constexpr std::size_t min_common_losses_percent{5};
 /// A task is given up, and its job fails, after this many crashes that are attributed to it, or
 /// that it may have caused.
 inline constexpr std::uint32_t attributed_crashes_to_give_up{2};
