--- a/tests/test_central_crashes.cpp
+++ b/tests/test_central_crashes.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Tasks that crash the runners that start them, and tasks that only run beside them or on runners
 /// that crash for another reason.
+#include <optional>
 #include <random>
 
 #include <criterion/criterion.h>
@@ -28,10 +29,26 @@
     }
 }
 
-void submit_crashing_job(central_world& w)
+/// \return the task of the `n`-th crashing job.
+graph_task_id crashing_task_of(std::uint64_t n)
 {
-    w.crashing_tasks.insert(crashing_task);
-    w.submit(0, central_world::make_job(id_of(crashing_job), 1, 1, {900}));
+    graph_task_id task{crashing_task};
+    task.job.value = id_of(crashing_job + n);
+    return task;
+}
+
+/// Submits jobs of one task that crashes its runners.
+/// \param size of the task; not set: the usual one.
+void submit_crashing_jobs(central_world& w, std::uint64_t count,
+                          std::optional<resources> size = std::nullopt)
+{
+    for (std::uint64_t n{0}; n < count; ++n) {
+        const graph_task_id task = crashing_task_of(n);
+        w.crashing_tasks.insert(task);
+        graph_job job = central_world::make_job(task.job.value, 1, 1, {900});
+        job.steps[0].task_size = size.value_or(job.steps[0].task_size);
+        w.submit(0, job);
+    }
 }
 
 job_state shown_state(central_world& w, std::uint64_t job)
@@ -59,7 +76,7 @@
     central_world w{{.runners = 8}};
     w.run_for(warm_up);
     submit_steadily(w, 1, jobs / 2, {100});
-    submit_crashing_job(w);
+    submit_crashing_jobs(w, 1);
     submit_steadily(w, 1 + jobs / 2, jobs / 2, {100});
     w.run_for({40'000});
     cr_expect_eq(w.crashes_by(crashing_task), config::attributed_crashes_to_give_up + 1,
@@ -77,20 +94,12 @@
     central_world w{{.runners = runners}};
     w.run_for(warm_up);
     submit_steadily(w, 1, 10, {100});
-    for (std::uint64_t n{0}; n < guilty; ++n) {
-        graph_task_id task{crashing_task};
-        task.job.value = id_of(crashing_job + n);
-        w.crashing_tasks.insert(task);
-        graph_job job = central_world::make_job(task.job.value, 1, 1, {900});
-        // One for each runner, so that they start apart and at the same time.
-        job.steps[0].task_size = w.runner(0).entry.capacity;
-        w.submit(0, job);
-    }
+    // One for each runner, so that they start apart and at the same time.
+    submit_crashing_jobs(w, guilty, w.runner(0).entry.capacity);
     w.run_for({60'000});
     for (std::uint64_t n{0}; n < guilty; ++n) {
-        graph_task_id task{crashing_task};
-        task.job.value = id_of(crashing_job + n);
-        cr_expect_leq(w.crashes_by(task), max_crashes, "%u runners crashed", w.crashes_by(task));
+        const std::uint32_t crashes = w.crashes_by(crashing_task_of(n));
+        cr_expect_leq(crashes, max_crashes, "%u runners crashed", crashes);
         cr_expect_eq(shown_state(w, crashing_job + n), job_state::failed);
     }
     cr_expect_eq(count_jobs(w, 1, 10, job_state::completed), 10);
@@ -106,12 +115,7 @@
     central_world w{{.runners = 10}};
     w.run_for(warm_up);
     submit_steadily(w, 1, 20, {30});
-    for (std::uint64_t n{0}; n < guilty; ++n) {
-        graph_task_id task{crashing_task};
-        task.job.value = id_of(crashing_job + n);
-        w.crashing_tasks.insert(task);
-        w.submit(0, central_world::make_job(task.job.value, 1, 1, {900}));
-    }
+    submit_crashing_jobs(w, guilty);
     submit_steadily(w, 21, jobs - 20, {100});
     w.run_for({20'000});
     cr_expect_eq(count_jobs(w, crashing_job, guilty, job_state::failed), guilty);
@@ -192,7 +196,7 @@
     central_world w{{.runners = 8}};
     w.run_for(warm_up);
     submit_steadily(w, 1, 5, {100});
-    submit_crashing_job(w);
+    submit_crashing_jobs(w, 1);
     while (w.crashes_by(crashing_task) < 1) {
         w.run_for({10});
     }
@@ -219,7 +223,7 @@
     for (std::uint64_t seed{1}; seed <= seeds; ++seed) {
         central_world w{{.seed = seed, .runners = 12}};
         w.run_for(warm_up);
-        submit_crashing_job(w);
+        submit_crashing_jobs(w, 1);
         for (int i{0}; i < 3; ++i) {
             w.run_for({static_cast<std::int64_t>(4'000 + 700 * seed)});
             if (const auto holder = w.scheduler()) {
@@ -366,7 +370,7 @@
 {
     central_world w{{.vms = 1, .runners = 8}};
     w.run_for(warm_up);
-    submit_crashing_job(w);
+    submit_crashing_jobs(w, 1);
     for (int i{0}; i < 6'000; ++i) {
         w.pause_at_next_start(0, millis{w.is_paused(0) ? 0 : 700});
         w.run_for({10});
@@ -385,7 +389,7 @@
         w.crash_breaks_connections = breaks;
         std::mt19937_64 random{1};
         w.run_for(warm_up);
-        submit_crashing_job(w);
+        submit_crashing_jobs(w, 1);
         for (std::uint64_t n{1}; n <= jobs; ++n) {
             submit_steadily(w, n, 1, {1'000});
             w.crash_runner_for_a_while(random() % runners);
