Server on an owner's loop: accept all waiting connections in a pass

Cause: RESTinio keeps one accept operation open by default, so the loop of a VM took one connection a pass. Under overload a pass is long; calls timed out before they were accepted, and each retry came on a new connection: callers saw cancellations and submissions without an answer.

Change: 64 accept operations are open (`max_accepts_per_pass`) when the server runs on its owner's loop.

--- a/daemon/http_server.cpp
+++ b/daemon/http_server.cpp
@@ -205,6 +205,7 @@
             .port(options.port)
             .max_pipelined_requests(max_pipelined_requests)
             .max_parallel_connections(max_server_connections)
+            .concurrent_accepts_count(options.context != nullptr ? max_accepts_per_pass : 1)
             .read_next_http_message_timelimit(std::chrono::milliseconds{keep_alive_timeout.count})
             .handle_request_timeout(
                 std::chrono::milliseconds{(config::max_request_deadline * 2).count})
--- a/daemon/io_limits.h
+++ b/daemon/io_limits.h
@@ -20,6 +20,9 @@
 /// Requests of one connection that are read ahead of their answers; above 1, so that a caller that
 /// goes away while it waits is noticed.
 inline constexpr std::size_t max_pipelined_requests{4};
+/// Connections that a server on its owner's loop takes in one pass of the loop. With one, a loop
+/// with long passes would accept a few connections a second, however many wait.
+inline constexpr std::size_t max_accepts_per_pass{64};
 inline constexpr millis keep_alive_timeout{60'000};
 /// How long after its last answer the server waits for answers that are being written.
 inline constexpr millis flush_timeout{5'000};
