Calls are processed before results of runners that arrived earlier

Cause: the loop ran the reducer for every event in order of arrival. Under overload hundreds of holds and order answers were ready in each pass, so callers and peers got no answer to submissions and cancellations in time.

Change: results of runners and ticks wait in a queue of their own (`event_queue`) and are processed in slices of 4 ms; between two slices the loop polls its sockets. All other events are processed at once. Checks of runners run on ticks only, which keep their place behind reports that arrived before them; else an overtaking call could take a runner for overdue whose report waits.

The world's `runner_event_wait` models the queue; the random submissions use it.

--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -3,7 +3,6 @@
 #include "central_process.h"
 
 #include <csignal>
-#include <deque>
 #include <random>
 #include <utility>
 
@@ -16,6 +15,7 @@
 #include "central_metrics.h"
 #include "central_peers.h"
 #include "central_ports.h"
+#include "event_queue.h"
 #include "line_log.h"
 #include "quiet_loop.h"
 #include "system_clock.h"
@@ -99,7 +99,7 @@
 
     void post(central::event e) override
     {
-        queue_.push_back(std::move(e));
+        queue_.push(std::move(e));
         if (!is_processing_queue_) {
             process_queue();
         }
@@ -114,14 +114,28 @@
     void process_queue()
     {
         is_processing_queue_ = true;
-        while (!queue_.empty()) {
-            const central::event e = std::move(queue_.front());
-            queue_.pop_front();
-            process_event(e);
+        while (const auto e = queue_.take(clock_.now())) {
+            process_event(*e);
         }
         is_processing_queue_ = false;
         log_.flush();
         arm_timer();
+        request_slice();
+    }
+
+    /// Results of runners have no effect after the shutdown.
+    void request_slice()
+    {
+        if (is_slice_requested_ || !queue_.needs_slice() || state_.shutdown_reported) {
+            return;
+        }
+        is_slice_requested_ = true;
+        asio::post(context_, [this] {
+            is_slice_requested_ = false;
+            queue_.begin_slice(clock_.now());
+            process_queue();
+            queue_.end_slice();
+        });
     }
 
     void process_event(const central::event& e)
@@ -172,7 +186,8 @@
 
     void arm_timer()
     {
-        if (state_.shutdown_reported || (is_timer_armed_ && timer_due_at_ <= state_.wake_at)) {
+        const bool needs_no_tick = queue_.has_tick() || state_.shutdown_reported;
+        if (needs_no_tick || (is_timer_armed_ && timer_due_at_ <= state_.wake_at)) {
             return;
         }
         is_timer_armed_ = true;
@@ -221,8 +236,9 @@
     std::unique_ptr<deployment> deployment_;
     asio::steady_timer timer_;
     asio::signal_set signals_;
-    std::deque<central::event> queue_;
+    event_queue queue_;
     bool is_processing_queue_{false};
+    bool is_slice_requested_{false};
     bool is_timer_armed_{false};
     instant timer_due_at_;
     /// How late the last timer was: a VM without processor time left is late by much.
--- /dev/null
+++ b/daemon/event_queue.cpp
@@ -0,0 +1,49 @@
+/// \file
+/// Implementation of the event queue.
+#include "event_queue.h"
+
+#include <utility>
+
+#include "io_limits.h"
+
+namespace cuminmoor::io {
+
+namespace {
+
+central::event pop_front(std::deque<central::event>& from)
+{
+    central::event e = std::move(from.front());
+    from.pop_front();
+    return e;
+}
+
+} // namespace
+
+void event_queue::push(central::event e)
+{
+    has_tick_ = has_tick_ || std::holds_alternative<central::tick>(e);
+    auto& to = central::may_be_overtaken(e) ? overtaken_ : prompt_;
+    to.push_back(std::move(e));
+}
+
+void event_queue::begin_slice(instant now)
+{
+    slice_ = slice{now + runner_event_slice};
+}
+
+std::optional<central::event> event_queue::take(instant now)
+{
+    if (!prompt_.empty()) {
+        return pop_front(prompt_);
+    }
+    const bool is_open = slice_ && (!slice_->is_used || now < slice_->end);
+    if (!is_open || overtaken_.empty()) {
+        return std::nullopt;
+    }
+    slice_->is_used = true;
+    central::event e = pop_front(overtaken_);
+    has_tick_ = has_tick_ && !std::holds_alternative<central::tick>(e);
+    return e;
+}
+
+} // namespace cuminmoor::io
--- /dev/null
+++ b/daemon/event_queue.h
@@ -0,0 +1,44 @@
+/// \file
+/// Order in which an event loop hands events to the reducer.
+#pragma once
+
+#include <deque>
+#include <optional>
+
+#include "cuminmoor/central/event.h"
+#include "cuminmoor/clock.h"
+
+namespace cuminmoor::io {
+
+/// Events in two classes, each in order of arrival. Those that may be overtaken
+/// (`central::may_be_overtaken`) are taken in slices, between which the loop polls its sockets; so
+/// a call waits for one slice at most, not for all results of runners that have arrived. Each slice
+/// takes one of them at least, so they advance however many calls arrive.
+class event_queue {
+public:
+    void push(central::event e);
+
+    void begin_slice(instant now);
+    void end_slice() { slice_.reset(); }
+
+    /// \return the event that goes next, or nothing if the rest waits for the next slice.
+    std::optional<central::event> take(instant now);
+
+    /// \return true if events wait for the next slice.
+    [[nodiscard]] bool needs_slice() const { return !overtaken_.empty(); }
+    [[nodiscard]] bool has_tick() const { return has_tick_; }
+
+private:
+    struct slice {
+        instant end;
+        bool is_used{false};
+    };
+
+    std::deque<central::event> prompt_;
+    std::deque<central::event> overtaken_;
+    /// A tick is in `overtaken_`.
+    bool has_tick_{false};
+    std::optional<slice> slice_;
+};
+
+} // namespace cuminmoor::io
--- a/daemon/io_limits.h
+++ b/daemon/io_limits.h
@@ -57,6 +57,10 @@
 // Datagrams between entry VMs.
 inline constexpr std::size_t max_datagram_bytes{8'192};
 
+// Event loop of central scheduling.
+/// Longest time for which results of runners are processed before the sockets are polled again.
+inline constexpr millis runner_event_slice{4};
+
 // Control thread.
 /// Period of the snapshot that /metrics and /readyz read.
 inline constexpr millis snapshot_period{250};
--- a/include/cuminmoor/central/event.h
+++ b/include/cuminmoor/central/event.h
@@ -355,6 +355,7 @@
 
 // ---- Process -------------------------------------------------------------------------------
 
+/// The time in `central_state::wake_at` has come. Only ticks run the checks of runners.
 struct tick {};
 struct stop_requested {};
 
@@ -362,6 +363,15 @@
                            rows_committed, rows_read_done, registry_changed, operator_changed,
                            control_changed, store_reachable, runner_order_ended, runner_hold_ended>;
 
+/// \return true for results from runners and for ticks. All other events may be processed before
+/// these, but these keep their order of arrival among each other: a tick must not find a runner
+/// silent whose report arrived before it.
+inline bool may_be_overtaken(const event& e)
+{
+    return std::holds_alternative<runner_hold_ended>(e) ||
+           std::holds_alternative<runner_order_ended>(e) || std::holds_alternative<tick>(e);
+}
+
 using effect = std::variant<peer_call, answer_call, rows_commit, rows_read, watch_registry,
                             runner_order, runner_hold, log_event, shutdown_complete>;
 
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -531,7 +531,7 @@
     instant drain_deadline;
     /// All calls were answered and `shutdown_complete` was sent; new calls are refused immediately.
     bool shutdown_reported{false};
-    /// The reducer must be called again no later than this.
+    /// The reducer needs a tick no later than this.
     instant wake_at{never};
 };
 
--- a/src/central/reduce.cpp
+++ b/src/central/reduce.cpp
@@ -118,13 +118,17 @@
                e);
 }
 
-void check_all(const context& c)
+/// Runs the periodic checks. Those of runners run on ticks only, behind the reports that arrived
+/// before; the others must be on time however many reports wait.
+void check_all(const context& c, bool is_tick)
 {
     check_members(c);
     check_lease(c);
     check_loading(c);
     if (c.is_scheduler()) {
         check_jobs(c);
+    }
+    if (c.is_scheduler() && is_tick) {
         check_runners(c);
         relocate_throttled_tasks(c);
     }
@@ -143,13 +147,14 @@
 {
     effects out;
     const context c{s, out, now, wall_time};
-    const bool is_due = now >= s.wake_at || std::holds_alternative<tick>(e);
-    if (is_due) {
+    const bool is_tick = std::holds_alternative<tick>(e);
+    const bool is_due = is_tick || now >= s.wake_at;
+    if (is_tick) {
         s.wake_at = now + config::tick_period;
     }
     dispatch(c, e);
     if (is_due) {
-        check_all(c);
+        check_all(c, is_tick);
     }
     place_ready_tasks(c);
     send_commit(c);
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -290,7 +290,7 @@
         }
     }
     s.placement_due = true;
-    check_runners(c);
+    c.wake_by(c.now);
 }
 
 void on_hold_ended(const context& c, const runner_hold_ended& e)
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -127,6 +127,8 @@
     v.follows_registry = false;
     v.store_was_reachable = false;
     v.next_tick = now_;
+    v.is_tick_waiting = false;
+    v.waits_until = now_;
     ++v.incarnation;
     poll_store_reachability(vm);
 }
@@ -172,6 +174,24 @@
     return std::stoul(id.value.substr(1));
 }
 
+void central_world::queue_event(std::size_t vm, const event& e)
+{
+    auto& v = vms_[vm];
+    const instant turn = std::max(v.waits_until, now_ + faults.runner_event_wait);
+    if (!may_be_overtaken(e) || turn <= now_) {
+        deliver_event(vm, e);
+        return;
+    }
+    v.waits_until = turn;
+    v.is_tick_waiting = v.is_tick_waiting || std::holds_alternative<tick>(e);
+    schedule(turn, [this, vm, incarnation = v.incarnation, e] {
+        if (vms_[vm].is_up && vms_[vm].incarnation == incarnation) {
+            vms_[vm].is_tick_waiting = vms_[vm].is_tick_waiting && !std::holds_alternative<tick>(e);
+            deliver_event(vm, e);
+        }
+    });
+}
+
 void central_world::deliver_event(std::size_t vm, const event& e)
 {
     auto& v = vms_[vm];
@@ -195,7 +215,7 @@
 {
     schedule(now_ + after, [this, vm, incarnation, e = std::move(e)] {
         if (vms_[vm].is_up && vms_[vm].incarnation == incarnation) {
-            deliver_event(vm, e);
+            queue_event(vm, e);
         }
     });
 }
@@ -205,7 +225,7 @@
     while (now_ < end) {
         instant next = end;
         for (const entry_vm& v : vms_) {
-            const bool has_timer = v.is_up && !v.is_flushing;
+            const bool has_timer = v.is_up && !v.is_flushing && !v.is_tick_waiting;
             next = has_timer ? std::min(next, v.next_tick) : next;
         }
         if (!actions_.empty()) {
@@ -224,8 +244,10 @@
             run();
         }
         for (std::size_t i{0}; i < vms_.size(); ++i) {
-            if (vms_[i].is_up && !vms_[i].is_flushing && vms_[i].next_tick <= now_) {
-                deliver_event(i, tick{});
+            const entry_vm& v = vms_[i];
+            const bool has_timer = v.is_up && !v.is_flushing && !v.is_tick_waiting;
+            if (has_timer && v.next_tick <= now_) {
+                queue_event(i, tick{});
             }
         }
         for (fake_runner& r : runners_) {
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -44,6 +44,8 @@
     std::size_t link_bytes_per_ms{0};
     /// Delay of the runners' reports on their way to a VM.
     millis report_delay{0};
+    /// Time for which results of runners, and ticks, wait at a VM while other events overtake them.
+    millis runner_event_wait{0};
     /// Share of orders to runners that are executed but not answered.
     double lost_orders{0};
     /// Share of orders that are executed seconds late and not answered.
@@ -167,6 +169,9 @@
         bool follows_registry{false};
         std::uint64_t incarnation{0};
         instant next_tick;
+        bool is_tick_waiting{false};
+        /// When the last of the events that wait is processed.
+        instant waits_until;
         bool store_was_reachable{false};
         /// See `pause_at_next_start`; 0: no pause is due.
         millis pause_at_next_start{0};
@@ -199,6 +204,8 @@
     };
 
     void schedule(instant when, std::function<void()> run);
+    /// Lets an event that may be overtaken wait.
+    void queue_event(std::size_t vm, const event& e);
     void deliver_event(std::size_t vm, const event& e);
     void schedule_event(std::size_t vm, std::uint64_t incarnation, millis after, event e);
     void execute(std::size_t vm, const effect& e);
--- a/tests/test_central_faults.cpp
+++ b/tests/test_central_faults.cpp
@@ -649,6 +649,9 @@
         case 10:
             w_.faults.unreachable_peers.insert({vm, below(vm_count)});
             break;
+        case 11:
+            w_.faults.runner_event_wait = {static_cast<std::int64_t>(below(1'000))};
+            break;
         default:
             end_faults();
             restart(vm);
--- a/tests/test_central_interference.cpp
+++ b/tests/test_central_interference.cpp
@@ -45,6 +45,16 @@
     cr_assert_eq(w.lowest_pace(0), 0);
 }
 
+/// Runs until the scheduler has just learned that services on a runner meet their targets.
+void run_until_reported(interference_world& w, const runner_id& runner)
+{
+    const central_state& s = w.world.state_of(*w.world.scheduler());
+    const auto before = s.scheduler.runners.at(runner).targets_met_at;
+    while (s.scheduler.runners.at(runner).targets_met_at == before) {
+        w.run_for({10});
+    }
+}
+
 /// \return true if the periods of this length that have passed are an even number.
 bool is_even_period(instant now, double period_ms)
 {
@@ -130,6 +140,24 @@
     expect_short_harm(w);
 }
 
+/// Calls overtake reports, so the checks that they cause must not take the reports for overdue.
+Test(central_interference, calls_that_overtake_reports_cause_no_pause)
+{
+    learned_as_harmless_fixture w{{0}};
+    w.submit_leftover(2, 2, "batch", long_run);
+    w.run_for({3'000});
+    cr_assert_gt(w.lowest_pace(0), 0);
+    run_until_reported(w, {"r0"});
+    w.world.faults.runner_event_wait = {2'000};
+    const instant end = w.world.now() + millis{2'900};
+    while (w.world.now() < end) {
+        w.world.query(*w.world.scheduler(), id_of(1));
+        w.world.set_listed(0, true);
+        w.run_for({20});
+        cr_assert_gt(w.lowest_pace(0), 0);
+    }
+}
+
 /// Strengths, delays, errors and loads vary; the bound does not.
 Test(central_interference, random_disturbances_are_bounded, .timeout = 120)
 {
