Failing test: full runners are scored again and again

The test allows a VM of a tenth of a core 200 a millisecond, and one pass over all runners for each start.

The second test passes and must go on passing: capacity that becomes free is used at once, by the most urgent of all waiting steps.

--- /dev/null
+++ b/tests/test_central_placement_cost.cpp
@@ -0,0 +1,91 @@
+/// \file
+/// Work of placement while all runners are full, and use of the capacity that becomes free.
+#include <criterion/criterion.h>
+
+#include "central/expectations.h"
+
+using namespace cuminmoor;
+using namespace cuminmoor::central;
+using namespace cuminmoor::central::test;
+
+namespace {
+
+constexpr std::size_t runners{60};
+constexpr std::uint64_t waiting_jobs{600};
+/// Tasks of the virtual world's default size that fill a runner.
+constexpr std::uint32_t tasks_per_runner{8};
+/// A tenth of a core.
+constexpr std::int64_t small_vm_milli_cores{100};
+/// Runners that such a VM may score per millisecond for tasks that do not start.
+constexpr std::uint64_t max_scored_per_ms{200};
+
+central_world make_world()
+{
+    central_world w{{.vms = 1, .runners = runners, .capacities = {{small_vm_milli_cores, {}}}}};
+    w.run_for(warm_up);
+    return w;
+}
+
+/// A job whose tasks need more processor time and less memory than those of lower numbers, so that
+/// no rejection of another job tells that they do not fit.
+graph_job job_of_own_size(std::uint64_t n, std::uint32_t tasks, millis run_time)
+{
+    graph_job job = central_world::make_job(id_of(n), 1, tasks, run_time);
+    const auto step = static_cast<std::int64_t>(n);
+    job.steps[0].task_size = {1'000 + step, 5'000 - step, 0};
+    return job;
+}
+
+} // namespace
+
+/// With 490 full runners, each round scored all of them for each waiting step. This took all of the
+/// scheduler's time, so that cancellations got no answer for 20 s.
+Test(central_placement_cost, full_runners_are_not_scored_again_and_again)
+{
+    central_world w = make_world();
+    for (std::uint64_t n{1}; n <= waiting_jobs; ++n) {
+        const auto run_time = static_cast<std::int64_t>(700 + 7 * n % 600);
+        w.submit(0, job_of_own_size(n, tasks_per_runner, {run_time}));
+    }
+    w.run_for({1'000});
+    const std::uint64_t scored_before = w.state_of(0).scheduler.runners_scored;
+    const std::uint64_t starts_before = w.starts();
+    constexpr millis observed{2'000};
+    w.run_for(observed);
+    const std::uint64_t scored = w.state_of(0).scheduler.runners_scored - scored_before;
+    const std::uint64_t starts = w.starts() - starts_before;
+    cr_log_info("%lu runners scored for %lu starts, %lu rounds", scored, starts,
+                w.state_of(0).scheduler.placement_rounds);
+    cr_assert_geq(w.state_of(0).scheduler.ready.size(), waiting_jobs / 4);
+    cr_expect_geq(starts, runners * tasks_per_runner);
+    cr_expect_leq(scored, max_scored_per_ms * observed.count + starts * runners,
+                  "%lu runners scored for %lu starts", scored, starts);
+    expect_no_violation(w);
+}
+
+Test(central_placement_cost, freed_capacity_goes_to_most_urgent_step_at_once)
+{
+    constexpr millis long_run{20'000};
+    constexpr std::uint64_t first_waiting{runners + 1};
+    constexpr std::uint64_t urgent{first_waiting + waiting_jobs};
+    constexpr std::uint64_t newest{urgent + 1};
+    central_world w = make_world();
+    for (std::uint64_t n{1}; n <= runners; ++n) {
+        w.submit(0, central_world::make_job(id_of(n), 1, tasks_per_runner, long_run));
+    }
+    w.run_for({300});
+    cr_assert_eq(w.starts(), runners * tasks_per_runner);
+    for (std::uint64_t n{first_waiting}; n < urgent; ++n) {
+        w.submit(0, job_of_own_size(n, 1, long_run));
+    }
+    w.submit(0, central_world::make_job(id_of(urgent), 1, tasks_per_runner, {500}));
+    w.run_for({500});
+    cr_assert_eq(w.starts(), runners * tasks_per_runner);
+    w.cancel(0, id_of(1));
+    w.submit(0, job_of_own_size(newest, 1, long_run));
+    w.run_for({100});
+    const auto& jobs = w.state_of(0).scheduler.jobs;
+    cr_expect_eq(jobs.at({id_of(urgent)}).active_runs, tasks_per_runner);
+    cr_expect_eq(w.starts(), (runners + 1) * tasks_per_runner);
+    expect_no_violation(w);
+}
