Placement: offer rejected steps only the runners that changed, in a bounded share of the time

Cause: as long as a step waited, a round each 10 ms, and one at each new step, scored all runners for each size that waited, although all were full. The cost of a round grew with steps times runners, and nothing bound how often it was paid.

Change: a round offers a step that was rejected in the round before only the runners whose offer changed since, found by comparing what decides about it, and eight others in turn, as the disturbance model may have changed. A step that was not rejected is offered all runners, so decisions stay the same. All ready steps are still visited in order of urgency, so no new step overtakes a more urgent one on a runner that became free. For a gang, the members that fitted before and those that fit on changed runners are an upper bound. After a round the next one waits in proportion to what was scored for tasks that did not start; a round that was dear leaves first offers to the next ones. Lookups of rejected sizes copy no strings, and tasks that are not ready are not looked up.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -119,6 +119,16 @@
 // Placement.
 /// Minimum time between placement rounds if no step became ready in between.
 inline constexpr millis placement_interval{10};
+/// Runners that placement may score per millisecond of a core's time for tasks that do not start.
+/// After a round that scored more than that, the next one waits until it has kept to it.
+inline constexpr std::int64_t max_scored_runners_per_ms{2'000};
+/// A round that has scored this many runners for steps that it offered all runners in vain offers
+/// further steps only the changed runners, and leaves the rest to the next round.
+inline constexpr std::uint64_t max_scored_runners_per_round{20'000};
+/// Cost of visiting a waiting step, in scored runners.
+inline constexpr std::uint64_t step_visit_cost{5};
+/// Unchanged runners that each round offers once more, in turn, to steps that they rejected.
+inline constexpr std::size_t reoffered_runners{8};
 /// Expected processor use of a service task, in percent of its declared processor time.
 inline constexpr std::int64_t service_cpu_use_percent{55};
 /// Spare processor time that a leftover task needs, in percent of its declared processor time.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -129,6 +129,14 @@
     std::optional<run> current_run;
 };
 
+/// Rejection of a step in a placement round: no runner was feasible for its tasks.
+struct step_rejection {
+    /// Number of the last such round; 0: none.
+    std::uint64_t round{0};
+    /// For a gang: upper bound of the members that fit at the same time.
+    std::size_t max_members{0};
+};
+
 struct step_record {
     std::vector<task_record> tasks;
     std::uint32_t unfinished{0};
@@ -136,6 +144,9 @@
     std::uint32_t ready{0};
     /// Number of steps in `after` that are not finished.
     std::uint32_t unfinished_dependencies{0};
+    /// At full speed, and at best effort for a starved job.
+    step_rejection full_speed_rejection;
+    step_rejection best_effort_rejection;
 };
 
 /// One repetition of a job; jobs without a schedule have exactly one.
@@ -235,6 +246,21 @@
     bool is_prompt{false};
 };
 
+/// What decides which tasks a schedulable runner can take, except the disturbance model.
+struct runner_offer {
+    resources capacity;
+    resources reserved;
+    std::size_t runs{0};
+    std::int64_t leftover_milli_cores{0};
+    std::int64_t service_milli_cores{0};
+    std::uint32_t benign_pace{0};
+    double latency_rise_budget{0};
+    double benign_latency_rise{0};
+    double antagonist_latency_rise{0};
+
+    bool operator==(const runner_offer&) const = default;
+};
+
 struct runner_record {
     runner_entry entry;
     /// False once the runner registry no longer lists it.
@@ -270,6 +296,9 @@
     /// Latency rise that leftover tasks may cause at present, in percent of the target.
     double latency_rise_budget{0};
     std::set<graph_task_id> runs;
+    /// At the end of the last placement round; empty if it was not schedulable then, or if settings
+    /// have changed since that are not part of it.
+    std::optional<runner_offer> last_offer;
     /// Runs there that belong to no current task; no run is placed there until they have ended.
     std::map<graph_task_id, orphan_run> orphans;
     /// Earliest retry of a failed stop on this runner.
@@ -483,6 +512,10 @@
     /// A step became ready since the last placement.
     bool has_new_ready{false};
     instant last_placement_at;
+    /// Earliest time of the next placement round, given the cost of the last.
+    instant next_placement_at;
+    /// Position of the first unchanged runner that the next round offers once more.
+    std::size_t next_reoffered_runner{0};
     /// Number of placement rounds since the lease was won.
     std::uint64_t placement_rounds{0};
     /// Number of runners scored for a task since the lease was won.
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -199,36 +201,41 @@
 /// runners.
 class runner_selector {
 public:
-    /// \param runners schedulable runners; must outlive the selector.
-    runner_selector(const context& c, const std::vector<runner_record*>& runners);
+    explicit runner_selector(const context& c) : c_{c} {}
 
+    /// \param candidates schedulable runners; none of the others is feasible.
     /// \return the feasible runner with the highest score, or null.
-    runner_record* select_runner(const graph_task_id& id, const task_ref& ref,
+    runner_record* select_runner(const std::vector<runner_record*>& candidates,
+                                 const graph_task_id& id, const task_ref& ref,
                                  runner_requirement requirement = runner_requirement::full_speed);
+    /// \return false if a task of at most the same size was rejected before.
+    [[nodiscard]] bool may_fit(const task_ref& ref, runner_requirement requirement) const;
 
-    /// \return false if a gang with at most as many members of at most the same size was
-    /// rejected before.
-    [[nodiscard]] bool may_fit_gang(const task_ref& ref) const;
-    void record_rejected_gang(const task_ref& ref);
+    /// \return the most members of the gang that may fit, according to rejected gangs with members
+    /// of at most the same size; `SIZE_MAX` without any.
+    [[nodiscard]] std::size_t max_gang_members(const task_ref& ref) const;
+    /// \param max_members upper bound of the members that fit at the same time.
+    void record_rejected_gang(const task_ref& ref, std::size_t max_members);
 
 private:
     /// All attributes that decide where a task is feasible, except its size.
-    using requirement_key =
-        std::tuple<service_id, std::string, image_number, bool, runner_requirement>;
+    template <typename String>
+    using requirement_of = std::tuple<image_number, bool, runner_requirement, String, String>;
+    using requirement_key = requirement_of<std::string>;
+    using requirement_view = requirement_of<std::string_view>;
 
-    static requirement_key requirement_key_of(const task_ref& ref, runner_requirement requirement);
-    [[nodiscard]] bool is_known_not_to_fit(const requirement_key& requirement,
-                                           const resources& size) const;
+    static requirement_view requirement_view_of(const task_ref& ref,
+                                                runner_requirement requirement);
+    void record_rejected_size(const task_ref& ref, runner_requirement requirement);
 
     const context& c_;
-    const std::vector<runner_record*>& runners_;
-    struct gang_size {
+    struct rejected_gang {
         resources member;
-        std::size_t members{0};
+        std::size_t max_members{0};
     };
-    /// Task sizes that no runner could take.
-    std::map<requirement_key, std::vector<resources>> rejected_sizes_;
-    std::map<requirement_key, std::vector<gang_size>> rejected_gangs_;
+    /// Task sizes that no runner could take; none of them fits another.
+    std::map<requirement_key, std::vector<resources>, std::less<>> rejected_sizes_;
+    std::map<requirement_key, std::vector<rejected_gang>, std::less<>> rejected_gangs_;
 };
 
 // ---- relocation.cpp
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -4,6 +4,7 @@
 #include "parts.h"
 
 #include <algorithm>
+#include <cstdint>
 
 namespace cuminmoor::central {
 
@@ -44,7 +45,7 @@
 bool is_schedulable(const context& c, const runner_record& r)
 {
     return r.is_responsive && r.listed && r.stored && !r.entry.draining && r.clock &&
-           r.orphans.empty() && c.now >= r.avoided_until &&
+           r.orphans.empty() && c.now >= r.avoided_until && !r.probation_until &&
            !c.s.operators.out_of_service.contains(r.entry.failure_domain);
 }
 
@@ -144,11 +145,124 @@
     return ref.job->recovered && c.s.scheduler.recovering && !task.is_reconciled;
 }
 
+/// One offer of all ready steps to the runners. A step that was rejected in the round before is
+/// only offered the runners that have changed since, as no other has become feasible.
+struct placement_round {
+    const context& c;
+    /// All schedulable runners.
+    std::vector<runner_record*> runners;
+    /// Those of them that have changed since the last round, and some others in turn.
+    std::vector<runner_record*> changed;
+    runner_selector selector{c};
+    /// `scheduler_state::runners_scored` when the round began.
+    std::uint64_t scored_before{c.s.scheduler.runners_scored};
+    /// Runners scored for tasks that were started.
+    std::uint64_t scored_for_starts{0};
+    /// Runners scored for steps that were offered all runners and rejected.
+    std::uint64_t scored_for_rejections{0};
+    /// Some steps were not offered all runners.
+    bool is_incomplete{false};
+
+    [[nodiscard]] std::uint64_t number() const { return c.s.scheduler.placement_rounds; }
+    [[nodiscard]] std::uint64_t scored_in_vain() const
+    {
+        return c.s.scheduler.runners_scored - scored_before - scored_for_starts;
+    }
+    [[nodiscard]] bool is_exhausted() const
+    {
+        return scored_for_rejections >= config::max_scored_runners_per_round;
+    }
+    [[nodiscard]] bool was_rejected_before(const step_rejection& rejection) const
+    {
+        return rejection.round != 0 && rejection.round + 1 == number();
+    }
+};
+
+runner_offer offer_of(const runner_record& r)
+{
+    return {r.entry.capacity,         r.reserved,    r.runs.size(),         r.leftover_milli_cores,
+            r.service_milli_cores,    r.benign_pace, r.latency_rise_budget, r.benign_latency_rise,
+            r.antagonist_latency_rise};
+}
+
+void find_changed_runners(const context& c, placement_round& round)
+{
+    std::size_t& next = c.s.scheduler.next_reoffered_runner;
+    const std::size_t count = round.runners.size();
+    for (std::size_t i{0}; i < count; ++i) {
+        runner_record* const r = round.runners[i];
+        const bool is_reoffered = (i + count - next % count) % count < config::reoffered_runners;
+        if (is_reoffered || r->last_offer != offer_of(*r)) {
+            round.changed.push_back(r);
+        }
+    }
+    next = count == 0 ? 0 : (next + config::reoffered_runners) % count;
+}
+
+placement_round begin_round(const context& c)
+{
+    ++c.s.scheduler.placement_rounds;
+    placement_round round{.c = c, .runners = schedulable_runners(c), .changed = {}};
+    find_changed_runners(c, round);
+    return round;
+}
+
+/// \return the time in which placement may score this many runners on this VM.
+millis time_for_scoring(const central_state& s, std::uint64_t runners)
+{
+    constexpr std::int64_t core{1'000};
+    const std::int64_t capacity = s.self.capacity.milli_cores;
+    const std::int64_t milli_cores = capacity == 0 ? core : std::min(capacity, core);
+    return {static_cast<std::int64_t>(runners) * core /
+            (config::max_scored_runners_per_ms * milli_cores)};
+}
+
+void end_round(placement_round& round, std::size_t visited_steps)
+{
+    const context& c = round.c;
+    scheduler_state& s = c.s.scheduler;
+    for (auto& [id, r] : s.runners) {
+        r.last_offer.reset();
+        if (is_schedulable(c, r)) {
+            r.last_offer = offer_of(r);
+        }
+    }
+    const std::uint64_t cost = round.scored_in_vain() + visited_steps * config::step_visit_cost;
+    s.next_placement_at = c.now + time_for_scoring(c.s, cost);
+    s.placement_due = s.placement_due || round.is_incomplete;
+}
+
+/// \return the best feasible runner, or null. A rejection by all runners is recorded.
+runner_record* select_for_task(placement_round& round, const graph_task_id& id, const task_ref& ref,
+                               runner_requirement requirement)
+{
+    step_rejection& rejection = requirement == runner_requirement::best_effort
+                                    ? ref.progress->best_effort_rejection
+                                    : ref.progress->full_speed_rejection;
+    const bool only_changed = round.was_rejected_before(rejection);
+    if (!only_changed && round.is_exhausted() && round.selector.may_fit(ref, requirement)) {
+        round.is_incomplete = true;
+        return runner_selector{round.c}.select_runner(round.changed, id, ref, requirement);
+    }
+    const auto& candidates = only_changed ? round.changed : round.runners;
+    runner_record* const r = round.selector.select_runner(candidates, id, ref, requirement);
+    if (r != nullptr) {
+        round.scored_for_starts += candidates.size();
+        return r;
+    }
+    rejection.round = round.number();
+    if (!only_changed) {
+        round.scored_for_rejections += candidates.size();
+    }
+    return nullptr;
+}
+
 /// Starts the task if it is ready.
 /// \return false if no runner is feasible; then none is feasible for the step's other tasks either.
-bool place_task(const context& c, runner_selector& selector, const graph_task_id& id,
+bool place_task(placement_round& round, const graph_task_id& id,
                 runner_requirement requirement = runner_requirement::full_speed)
 {
+    const context& c = round.c;
     const task_ref ref = find_task(c.s, id);
     // The job may have ended in this round, see `begin_suspect_run`.
     const bool is_startable =
@@ -156,7 +270,7 @@
     if (!is_startable || may_run_unreported(c, ref, *ref.task)) {
         return true;
     }
-    runner_record* const r = selector.select_runner(id, ref, requirement);
+    runner_record* const r = select_for_task(round, id, ref, requirement);
     if (r == nullptr) {
         return false;
     }
@@ -166,48 +280,105 @@
     return true;
 }
 
-/// Starts all members of a gang at once, or none.
-///
-/// Members are reserved one by one, and the reservations are undone before the start or if the gang
-/// does not fit. Sizes rejected during the reservations must not affect other steps, so the gang
-/// uses a selector of its own.
-void place_gang(const context& c, const std::vector<runner_record*>& runners,
-                runner_selector& round_selector, graph_task_id id)
+/// Reserves capacity for members of a gang, one after the other.
+/// \return the runner of each member, up to the first that does not fit.
+std::vector<runner_record*> reserve_members(const context& c,
+                                            const std::vector<runner_record*>& candidates,
+                                            graph_task_id id, std::size_t members)
 {
-    const task_ref first = find_task(c.s, id);
-    if (!round_selector.may_fit_gang(first)) {
-        return;
-    }
-    runner_selector selector{c, runners};
-    const auto& tasks = first.progress->tasks;
-    run_number number;
-    for (const task_record& task : tasks) {
-        if (task.status != task_status::ready || task.current_run ||
-            may_run_unreported(c, first, task)) {
-            return;
-        }
-        number = std::max(number, next_run_number(c, task));
-    }
+    // The reservations are undone, so what is rejected beside them must not affect other steps.
+    runner_selector selector{c};
     std::vector<runner_record*> chosen;
-    for (id.index = 0; id.index < tasks.size(); ++id.index) {
-        runner_record* const r = selector.select_runner(id, find_task(c.s, id));
+    for (id.index = 0; id.index < members; ++id.index) {
+        const task_ref ref = find_task(c.s, id);
+        runner_record* const r = selector.select_runner(candidates, id, ref);
         if (r == nullptr) {
             break;
         }
-        reserve_for_run(*r, first, id);
+        reserve_for_run(*r, ref, id);
         chosen.push_back(r);
     }
-    const bool is_complete = chosen.size() == tasks.size();
-    if (!is_complete) {
-        round_selector.record_rejected_gang(first);
+    return chosen;
+}
+
+void unreserve_members(const context& c, const std::vector<runner_record*>& chosen,
+                       graph_task_id id)
+{
+    for (id.index = 0; id.index < chosen.size(); ++id.index) {
+        unreserve_run(*chosen[id.index], find_task(c.s, id), id);
+    }
+}
+
+bool are_members_startable(const context& c, const task_ref& ref)
+{
+    const auto& tasks = ref.progress->tasks;
+    return std::all_of(tasks.begin(), tasks.end(), [&](const task_record& task) {
+        return task.status == task_status::ready && !task.current_run &&
+               !may_run_unreported(c, ref, task);
+    });
+}
+
+/// \return an upper bound of the members that fit at the same time, from what is known of earlier
+/// rejections and from the changed runners.
+std::size_t max_members(const placement_round& round, const task_ref& ref, const graph_task_id& id)
+{
+    const std::size_t members = ref.progress->tasks.size();
+    const std::size_t known = round.selector.max_gang_members(ref);
+    const step_rejection& rejection = ref.progress->full_speed_rejection;
+    if (known < members || !round.was_rejected_before(rejection)) {
+        return known;
+    }
+    const auto chosen =
+        reserve_members(round.c, round.changed, id, members - rejection.max_members);
+    unreserve_members(round.c, chosen, id);
+    return rejection.max_members + chosen.size();
+}
+
+void reject_gang(placement_round& round, const task_ref& ref, std::size_t max_members)
+{
+    ref.progress->full_speed_rejection = {round.number(), max_members};
+    round.selector.record_rejected_gang(ref, max_members);
+}
+
+void start_gang(placement_round& round, const std::vector<runner_record*>& chosen, graph_task_id id)
+{
+    const context& c = round.c;
+    run_number number;
+    for (const task_record& task : find_task(c.s, id).progress->tasks) {
+        number = std::max(number, next_run_number(c, task));
     }
     for (id.index = 0; id.index < chosen.size(); ++id.index) {
-        runner_record& r = *chosen[id.index];
-        unreserve_run(r, first, id);
-        if (is_complete) {
-            start_run(c, id, find_task(c.s, id), r, number);
-        }
+        start_run(c, id, find_task(c.s, id), *chosen[id.index], number);
     }
+    round.scored_for_starts += chosen.size() * round.runners.size();
+}
+
+/// Starts all members of a gang at once, or none.
+void place_gang(placement_round& round, const graph_task_id& id)
+{
+    const context& c = round.c;
+    const task_ref first = find_task(c.s, id);
+    if (!are_members_startable(c, first)) {
+        return;
+    }
+    const std::size_t members = first.progress->tasks.size();
+    const std::size_t bound = max_members(round, first, id);
+    if (bound < members) {
+        reject_gang(round, first, bound);
+        return;
+    }
+    if (round.is_exhausted()) {
+        round.is_incomplete = true;
+        return;
+    }
+    const auto chosen = reserve_members(c, round.runners, id, members);
+    unreserve_members(c, chosen, id);
+    if (chosen.size() < members) {
+        round.scored_for_rejections += (chosen.size() + 1) * round.runners.size();
+        reject_gang(round, first, chosen.size());
+        return;
+    }
+    start_gang(round, chosen, id);
 }
 
 /// \return true if the job has had no run for `starvation_timeout`. One of its tasks then starts
@@ -217,32 +388,32 @@
     return job.active_runs == 0 && c.now - job.idle_since >= config::starvation_timeout;
 }
 
-void start_if_starved(const context& c, runner_selector& selector, const graph_task_id& id,
-                      const job_record& job)
+void start_if_starved(placement_round& round, const graph_task_id& id, const job_record& job)
 {
+    const context& c = round.c;
     const millis idle = c.now - job.idle_since;
-    if (is_starved(c, job) && place_task(c, selector, id, runner_requirement::best_effort)) {
+    if (is_starved(c, job) && place_task(round, id, runner_requirement::best_effort)) {
         c.log("starved_job_started",
               {{"task", to_string(id)}, {"idle_ms", std::to_string(idle.count)}});
     }
 }
 
-void place_step(const context& c, const std::vector<runner_record*>& runners,
-                runner_selector& selector, const ready_key& key)
+void place_step(placement_round& round, const ready_key& key)
 {
     graph_task_id id{key.job, key.occurrence, key.step, 0};
-    const task_ref first = find_task(c.s, id);
+    const task_ref first = find_task(round.c.s, id);
     if (!first) {
         return;
     }
     if (first.step->is_gang) {
-        place_gang(c, runners, selector, id);
+        place_gang(round, id);
         return;
     }
-    const std::size_t count = first.progress->tasks.size();
-    for (id.index = 0; id.index < count; ++id.index) {
-        if (!place_task(c, selector, id)) {
-            start_if_starved(c, selector, id, *first.job);
+    const auto& tasks = first.progress->tasks;
+    for (id.index = 0; id.index < tasks.size(); ++id.index) {
+        const bool is_ready = tasks[id.index].status == task_status::ready;
+        if (is_ready && !place_task(round, id)) {
+            start_if_starved(round, id, *first.job);
             return;
         }
     }
@@ -261,62 +432,72 @@
     return runners;
 }
 
-runner_selector::runner_selector(const context& c, const std::vector<runner_record*>& runners)
-    : c_{c}, runners_{runners}
-{
-}
-
-runner_selector::requirement_key runner_selector::requirement_key_of(const task_ref& ref,
-                                                                     runner_requirement requirement)
+runner_selector::requirement_view
+runner_selector::requirement_view_of(const task_ref& ref, runner_requirement requirement)
 {
     const graph_step& step = *ref.step;
     // The image only matters for leftover tasks, as it determines the expected disturbance.
     const image_number image = step.uses_leftover ? ref.image : 0;
-    return {ref.job->queue_settings.service, step.required_label, image, step.uses_leftover,
-            requirement};
+    return {image, step.uses_leftover, requirement, ref.job->queue_settings.service.value,
+            step.required_label};
 }
 
-bool runner_selector::is_known_not_to_fit(const requirement_key& requirement,
-                                          const resources& size) const
+bool runner_selector::may_fit(const task_ref& ref, runner_requirement requirement) const
 {
-    const auto found = rejected_sizes_.find(requirement);
-    return found != rejected_sizes_.end() &&
-           std::any_of(found->second.begin(), found->second.end(),
-                       [&size](const resources& failed) { return failed.fits(size); });
+    const resources& size = ref.step->task_size;
+    const auto found = rejected_sizes_.find(requirement_view_of(ref, requirement));
+    return found == rejected_sizes_.end() ||
+           std::none_of(found->second.begin(), found->second.end(),
+                        [&size](const resources& failed) { return failed.fits(size); });
 }
 
-bool runner_selector::may_fit_gang(const task_ref& ref) const
+void runner_selector::record_rejected_size(const task_ref& ref, runner_requirement requirement)
 {
+    // With a limit per runner the rejection only applies to this step.
+    if (ref.step->max_per_runner != 0) {
+        return;
+    }
+    const resources& size = ref.step->task_size;
+    auto& sizes = rejected_sizes_[requirement_key{requirement_view_of(ref, requirement)}];
+    std::erase_if(sizes, [&size](const resources& failed) { return size.fits(failed); });
+    sizes.push_back(size);
+}
+
+std::size_t runner_selector::max_gang_members(const task_ref& ref) const
+{
+    std::size_t members{SIZE_MAX};
     const auto found =
-        rejected_gangs_.find(requirement_key_of(ref, runner_requirement::full_speed));
+        rejected_gangs_.find(requirement_view_of(ref, runner_requirement::full_speed));
     if (found == rejected_gangs_.end()) {
-        return true;
+        return members;
     }
-    const gang_size asked{ref.step->task_size, ref.progress->tasks.size()};
-    return std::none_of(found->second.begin(), found->second.end(), [&](const gang_size& failed) {
-        return failed.member.fits(asked.member) && failed.members <= asked.members;
-    });
+    for (const rejected_gang& failed : found->second) {
+        if (failed.member.fits(ref.step->task_size)) {
+            members = std::min(members, failed.max_members);
+        }
+    }
+    return members;
 }
 
-void runner_selector::record_rejected_gang(const task_ref& ref)
+void runner_selector::record_rejected_gang(const task_ref& ref, std::size_t max_members)
 {
-    if (ref.step->max_per_runner == 0) {
-        rejected_gangs_[requirement_key_of(ref, runner_requirement::full_speed)].push_back(
-            {ref.step->task_size, ref.progress->tasks.size()});
+    if (ref.step->max_per_runner == 0 && max_members < max_gang_members(ref)) {
+        const auto requirement = requirement_view_of(ref, runner_requirement::full_speed);
+        rejected_gangs_[requirement_key{requirement}].push_back({ref.step->task_size, max_members});
     }
 }
 
-runner_record* runner_selector::select_runner(const graph_task_id& id, const task_ref& ref,
+runner_record* runner_selector::select_runner(const std::vector<runner_record*>& candidates,
+                                              const graph_task_id& id, const task_ref& ref,
                                               runner_requirement requirement)
 {
-    const requirement_key asked = requirement_key_of(ref, requirement);
-    if (is_known_not_to_fit(asked, ref.step->task_size)) {
+    if (!may_fit(ref, requirement)) {
         return nullptr;
     }
     runner_record* best{nullptr};
     placement_score best_score;
-    c_.s.scheduler.runners_scored += runners_.size();
-    for (runner_record* const r : runners_) {
+    c_.s.scheduler.runners_scored += candidates.size();
+    for (runner_record* const r : candidates) {
         if (!is_feasible(c_, *r, id, ref, requirement)) {
             continue;
         }
@@ -326,9 +507,8 @@
             best_score = s;
         }
     }
-    // With a limit per runner the rejection only applies to this step, so it is not recorded.
-    if (best == nullptr && ref.step->max_per_runner == 0) {
-        rejected_sizes_[asked].push_back(ref.step->task_size);
+    if (best == nullptr) {
+        record_rejected_size(ref, requirement);
     }
     return best;
 }
@@ -339,8 +519,11 @@
     if (!c.is_scheduler() || !s.placement_due || !may_send_orders(c) || c.s.lease.releasing) {
         return;
     }
-    const instant next = s.last_placement_at + config::placement_interval;
-    if (!s.has_new_ready && c.now < next) {
+    const instant next =
+        s.has_new_ready
+            ? s.next_placement_at
+            : std::max(s.next_placement_at, s.last_placement_at + config::placement_interval);
+    if (c.now < next) {
         c.wake_by(next);
         return;
     }
@@ -350,13 +533,12 @@
     if (s.ready.empty()) {
         return;
     }
-    ++s.placement_rounds;
-    const std::vector<runner_record*> runners = schedulable_runners(c);
-    runner_selector selector{c, runners};
+    placement_round round = begin_round(c);
     const std::vector<ready_key> order{s.ready.begin(), s.ready.end()};
     for (const ready_key& key : order) {
-        place_step(c, runners, selector, key);
+        place_step(round, key);
     }
+    end_round(round, order.size());
 }
 
 } // namespace cuminmoor::central
--- a/src/central/reduce.cpp
+++ b/src/central/reduce.cpp
@@ -49,6 +49,9 @@
                 job.queue_settings.max_attempts = q->max_attempts;
             }
         }
+        for (auto& [id, r] : c.s.scheduler.runners) {
+            r.last_offer.reset();
+        }
     }
     if (e.view.out_of_service != known.out_of_service) {
         c.log("failure_domains_out", {{"count", absl::StrCat(e.view.out_of_service.size())}});
--- a/src/central/relocation.cpp
+++ b/src/central/relocation.cpp
@@ -28,7 +28,8 @@
            c.now - r.ordered_at >= config::min_run_age_to_relocate;
 }
 
-void find_relocations(const context& c, const runner_record& r, runner_selector& selector,
+void find_relocations(const context& c, const runner_record& r,
+                      const std::vector<runner_record*>& schedulable, runner_selector& selector,
                       std::vector<relocation>& moves)
 {
     for (const graph_task_id& id : r.runs) {
@@ -39,7 +40,8 @@
         if (!is_relocation_worthwhile(*ref.step, *ref.task->current_run)) {
             continue;
         }
-        runner_record* const to = selector.select_runner(id, ref, runner_requirement::benign);
+        runner_record* const to =
+            selector.select_runner(schedulable, id, ref, runner_requirement::benign);
         if (to == nullptr || to == &r) {
             continue;
         }
@@ -71,11 +73,11 @@
     }
     s.last_relocation_at = c.now;
     const std::vector<runner_record*> schedulable = schedulable_runners(c);
-    runner_selector selector{c, schedulable};
+    runner_selector selector{c};
     std::vector<relocation> moves;
     for (const auto& [id, r] : s.runners) {
         if (is_throttled(r)) {
-            find_relocations(c, r, selector, moves);
+            find_relocations(c, r, schedulable, selector, moves);
         }
     }
     for (const relocation& each : moves) {
--- a/tests/test_central_placement_cost.cpp
+++ b/tests/test_central_placement_cost.cpp
@@ -17,7 +17,8 @@
 /// A tenth of a core.
 constexpr std::int64_t small_vm_milli_cores{100};
 /// Runners that such a VM may score per millisecond for tasks that do not start.
-constexpr std::uint64_t max_scored_per_ms{200};
+constexpr std::uint64_t max_scored_per_ms{config::max_scored_runners_per_ms * small_vm_milli_cores /
+                                          1'000};
 
 central_world make_world()
 {
@@ -58,8 +59,10 @@
                 w.state_of(0).scheduler.placement_rounds);
     cr_assert_geq(w.state_of(0).scheduler.ready.size(), waiting_jobs / 4);
     cr_expect_geq(starts, runners * tasks_per_runner);
-    cr_expect_leq(scored, max_scored_per_ms * observed.count + starts * runners,
-                  "%lu runners scored for %lu starts", scored, starts);
+    // The last round may exceed its share, as the next one waits in return.
+    const std::uint64_t bound = max_scored_per_ms * observed.count +
+                                config::max_scored_runners_per_round + starts * runners;
+    cr_expect_leq(scored, bound, "%lu runners scored for %lu starts", scored, starts);
     expect_no_violation(w);
 }
 
