--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <algorithm>
-#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -218,14 +217,12 @@
     void record_rejected_gang(const task_ref& ref, std::size_t max_members);
 
 private:
-    /// All attributes that decide where a task is feasible, except its size.
-    template <typename String>
-    using requirement_of = std::tuple<image_number, bool, runner_requirement, String, String>;
-    using requirement_key = requirement_of<std::string>;
-    using requirement_view = requirement_of<std::string_view>;
+    /// All attributes that decide where a task is feasible, except its size. The strings belong to
+    /// the task's job, which must outlive the selector.
+    using requirement_key =
+        std::tuple<image_number, bool, runner_requirement, std::string_view, std::string_view>;
 
-    static requirement_view requirement_view_of(const task_ref& ref,
-                                                runner_requirement requirement);
+    static requirement_key requirement_key_of(const task_ref& ref, runner_requirement requirement);
     void record_rejected_size(const task_ref& ref, runner_requirement requirement);
 
     const context& c_;
@@ -234,8 +231,8 @@
         std::size_t max_members{0};
     };
     /// Task sizes that no runner could take; none of them fits another.
-    std::map<requirement_key, std::vector<resources>, std::less<>> rejected_sizes_;
-    std::map<requirement_key, std::vector<rejected_gang>, std::less<>> rejected_gangs_;
+    std::map<requirement_key, std::vector<resources>> rejected_sizes_;
+    std::map<requirement_key, std::vector<rejected_gang>> rejected_gangs_;
 };
 
 // ---- relocation.cpp
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -432,8 +432,8 @@
     return runners;
 }
 
-runner_selector::requirement_view
-runner_selector::requirement_view_of(const task_ref& ref, runner_requirement requirement)
+runner_selector::requirement_key runner_selector::requirement_key_of(const task_ref& ref,
+                                                                     runner_requirement requirement)
 {
     const graph_step& step = *ref.step;
     // The image only matters for leftover tasks, as it determines the expected disturbance.
@@ -445,7 +445,7 @@
 bool runner_selector::may_fit(const task_ref& ref, runner_requirement requirement) const
 {
     const resources& size = ref.step->task_size;
-    const auto found = rejected_sizes_.find(requirement_view_of(ref, requirement));
+    const auto found = rejected_sizes_.find(requirement_key_of(ref, requirement));
     return found == rejected_sizes_.end() ||
            std::none_of(found->second.begin(), found->second.end(),
                         [&size](const resources& failed) { return failed.fits(size); });
@@ -458,7 +458,7 @@
         return;
     }
     const resources& size = ref.step->task_size;
-    auto& sizes = rejected_sizes_[requirement_key{requirement_view_of(ref, requirement)}];
+    auto& sizes = rejected_sizes_[requirement_key_of(ref, requirement)];
     std::erase_if(sizes, [&size](const resources& failed) { return size.fits(failed); });
     sizes.push_back(size);
 }
@@ -467,7 +467,7 @@
 {
     std::size_t members{SIZE_MAX};
     const auto found =
-        rejected_gangs_.find(requirement_view_of(ref, runner_requirement::full_speed));
+        rejected_gangs_.find(requirement_key_of(ref, runner_requirement::full_speed));
     if (found == rejected_gangs_.end()) {
         return members;
     }
@@ -482,8 +482,8 @@
 void runner_selector::record_rejected_gang(const task_ref& ref, std::size_t max_members)
 {
     if (ref.step->max_per_runner == 0 && max_members < max_gang_members(ref)) {
-        const auto requirement = requirement_view_of(ref, runner_requirement::full_speed);
-        rejected_gangs_[requirement_key{requirement}].push_back({ref.step->task_size, max_members});
+        const auto requirement = requirement_key_of(ref, runner_requirement::full_speed);
+        rejected_gangs_[requirement].push_back({ref.step->task_size, max_members});
     }
 }
 
