Placement: count the members of a gang that fit, runner by runner

Cause: a gang that did not fit was tried by selecting the best runner for one member after the other, so a rejection cost its members times all runners.

Members are alike, and how many fit on a runner does not depend on the others, so they are now counted in one pass. Only a gang that fits has its runners selected by score, as before.

All 15 test_central_* targets pass.

--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -280,33 +280,44 @@
     return true;
 }
 
-/// Reserves capacity for members of a gang, one after the other.
-/// \return the runner of each member, up to the first that does not fit.
-std::vector<runner_record*> reserve_members(const context& c,
-                                            const std::vector<runner_record*>& candidates,
-                                            graph_task_id id, std::size_t members)
+/// \return how many of the gang's members fit on the runners at the same time, at most `members`.
+std::size_t count_fitting_members(const context& c, const std::vector<runner_record*>& candidates,
+                                  graph_task_id id, std::size_t members)
+{
+    const task_ref ref = find_task(c.s, id);
+    for (runner_record* const r : candidates) {
+        const std::uint32_t first = id.index;
+        ++c.s.scheduler.runners_scored;
+        while (id.index < members && is_feasible(c, *r, id, ref, runner_requirement::full_speed)) {
+            reserve_for_run(*r, ref, id);
+            ++id.index;
+            ++c.s.scheduler.runners_scored;
+        }
+        for (graph_task_id reserved = id; reserved.index > first;) {
+            --reserved.index;
+            unreserve_run(*r, ref, reserved);
+        }
+    }
+    return id.index;
+}
+
+/// \return the runner of each member of a gang of which all members fit.
+std::vector<runner_record*> select_for_members(const context& c,
+                                               const std::vector<runner_record*>& candidates,
+                                               graph_task_id id, std::size_t members)
 {
     // The reservations are undone, so what is rejected beside them must not affect other steps.
     runner_selector selector{c};
     std::vector<runner_record*> chosen;
     for (id.index = 0; id.index < members; ++id.index) {
         const task_ref ref = find_task(c.s, id);
-        runner_record* const r = selector.select_runner(candidates, id, ref);
-        if (r == nullptr) {
-            break;
-        }
-        reserve_for_run(*r, ref, id);
-        chosen.push_back(r);
+        chosen.push_back(selector.select_runner(candidates, id, ref));
+        reserve_for_run(*chosen.back(), ref, id);
     }
-    return chosen;
-}
-
-void unreserve_members(const context& c, const std::vector<runner_record*>& chosen,
-                       graph_task_id id)
-{
-    for (id.index = 0; id.index < chosen.size(); ++id.index) {
+    for (id.index = 0; id.index < members; ++id.index) {
         unreserve_run(*chosen[id.index], find_task(c.s, id), id);
     }
+    return chosen;
 }
 
 bool are_members_startable(const context& c, const task_ref& ref)
@@ -328,10 +339,8 @@
     if (known < members || !round.was_rejected_before(rejection)) {
         return known;
     }
-    const auto chosen =
-        reserve_members(round.c, round.changed, id, members - rejection.max_members);
-    unreserve_members(round.c, chosen, id);
-    return rejection.max_members + chosen.size();
+    return rejection.max_members +
+           count_fitting_members(round.c, round.changed, id, members - rejection.max_members);
 }
 
 void reject_gang(placement_round& round, const task_ref& ref, std::size_t max_members)
@@ -371,14 +380,13 @@
         round.is_incomplete = true;
         return;
     }
-    const auto chosen = reserve_members(c, round.runners, id, members);
-    unreserve_members(c, chosen, id);
-    if (chosen.size() < members) {
-        round.scored_for_rejections += (chosen.size() + 1) * round.runners.size();
-        reject_gang(round, first, chosen.size());
+    const std::size_t fitting = count_fitting_members(c, round.runners, id, members);
+    if (fitting < members) {
+        round.scored_for_rejections += round.runners.size() + fitting;
+        reject_gang(round, first, fitting);
         return;
     }
-    start_gang(round, chosen, id);
+    start_gang(round, select_for_members(c, round.runners, id, members), id);
 }
 
 /// \return true if the job has had no run for `starvation_timeout`. One of its tasks then starts
