Answers between entry VMs can say how long the call was held

The clocks of two VMs are not compared, so the answer carries a duration. Change: `call_answer::held`, written behind the other fields. Bodies between VMs carry no version number. A process of the earlier version reads what it knows and ignores the bytes behind it; this version reads an answer of exactly the earlier length as one without `held`, as is done for lease rows and progress.

--- a/include/cuminmoor/central/event.h
+++ b/include/cuminmoor/central/event.h
@@ -72,6 +72,9 @@
     job_state state{job_state::queued};
     std::uint64_t pending{0};
     millis retry_after{};
+    /// From a peer only: how long it held the call, from its `peer_call_received` to this answer.
+    /// Empty if the peer does not report it.
+    std::optional<millis> held{};
 };
 
 /// Event: a caller's request was read.
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -79,10 +79,22 @@
     archive(c.kind, c.queue, c.manifest_version, c.job, c.submitted, c.forwarded_by);
 }
 
+/// Processes that do not know `held` read what precedes it and ignore the rest.
 template <typename Archive>
 void serialize(Archive& archive, call_answer& a)
 {
-    archive(a.result, a.state, a.pending, a.retry_after);
+    archive(a.result, a.state, a.pending, a.retry_after, a.held);
+}
+
+/// An answer as it was written before `held` was added.
+struct answer_without_held {
+    call_answer answer;
+};
+
+template <typename Archive>
+void serialize(Archive& archive, answer_without_held& a)
+{
+    archive(a.answer.result, a.answer.state, a.answer.pending, a.answer.retry_after);
 }
 
 template <typename Archive>
@@ -433,8 +445,14 @@
 absl::StatusOr<call_answer> decode_answer(const std::string& text)
 {
     auto answer = decode<call_answer>(text, "peer answer");
-    if (answer.ok() &&
-        (answer->result > call_result::not_scheduler || !is_job_state(answer->state))) {
+    if (!answer.ok()) {
+        const auto earlier = decode<answer_without_held>(text, "peer answer");
+        if (!earlier.ok() || encode(*earlier).size() != text.size()) {
+            return answer;
+        }
+        answer = earlier->answer;
+    }
+    if (answer->result > call_result::not_scheduler || !is_job_state(answer->state)) {
         return absl::InvalidArgumentError("peer answer: unknown result or state");
     }
     return answer;
