Log lines tell where a forwarded call waited

Change: an open call keeps how often and when it was forwarded, the last round trip and the time that the peer says it held the call. `call_answered` gets `forwards`, `forwarded_after_ms`, `round_trip_ms` and `held_ms`, the last two only when known. `forward_failed` is new: a forward that ended without a final answer, or was in flight when its caller was answered. Answers to peers carry how long the call was held. No decision changes.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -499,6 +499,20 @@
 
 // ---- Entry ---------------------------------------------------------------------------------
 
+/// How often a call was forwarded to the VM that schedules, and how long that took. All durations
+/// are differences of one VM's clock.
+struct forward_history {
+    std::uint32_t count{0};
+    /// When the call was last forwarded; valid unless `count` is 0.
+    instant last_at;
+    /// The last forward has not ended yet.
+    bool is_in_flight{false};
+    /// Time from the last forward to the peer's answer; empty without one.
+    std::optional<millis> round_trip{};
+    /// The part of `round_trip` during which the peer held the call; empty when unknown.
+    std::optional<millis> held{};
+};
+
 /// A call from a caller or a peer that is not answered yet.
 struct open_call {
     job_call call;
@@ -509,6 +523,7 @@
     bool dispatched{false};
     /// Address of the peer to which the call was last forwarded.
     std::string last_peer_address;
+    forward_history forwards;
     /// An earlier attempt may have been accepted.
     bool maybe_accepted{false};
     instant retry_at;
--- a/src/central/entry.cpp
+++ b/src/central/entry.cpp
@@ -54,6 +54,78 @@
     }
 }
 
+absl::string_view name_of(call_kind kind)
+{
+    switch (kind) {
+    case call_kind::submit:
+        return "submit";
+    case call_kind::query:
+        return "query";
+    case call_kind::cancel:
+        return "cancel";
+    case call_kind::count_pending:
+        return "count_pending";
+    }
+    return "";
+}
+
+absl::string_view name_of(call_result result)
+{
+    switch (result) {
+    case call_result::accepted:
+        return "accepted";
+    case call_result::state:
+        return "state";
+    case call_result::pending:
+        return "pending";
+    case call_result::cancelled:
+        return "cancelled";
+    case call_result::unknown_job:
+        return "unknown_job";
+    case call_result::unknown_queue:
+        return "unknown_queue";
+    case call_result::malformed:
+        return "malformed";
+    case call_result::overloaded:
+        return "overloaded";
+    case call_result::unavailable:
+        return "unavailable";
+    case call_result::outcome_unknown:
+        return "outcome_unknown";
+    case call_result::not_scheduler:
+        return "not_scheduler";
+    }
+    return "";
+}
+
+/// Logs a forward that ended without a final answer.
+/// \param sent "true", "false" or "unknown".
+/// \param result the peer's answer, or "no_answer".
+void log_failed_forward(const context& c, const open_call& call, absl::string_view sent,
+                        absl::string_view result)
+{
+    c.log("forward_failed", {{"job", call.call.job.value},
+                             {"call", std::string{name_of(call.call.kind)}},
+                             {"forwarded_to", call.last_peer_address},
+                             {"sent", std::string{sent}},
+                             {"result", std::string{result}},
+                             {"age_ms", absl::StrCat((c.now - call.forwards.last_at).count)}});
+}
+
+void record_forward(const context& c, open_call& call)
+{
+    call.forwards = {.count = call.forwards.count + 1, .last_at = c.now, .is_in_flight = true};
+}
+
+void record_forward_end(const context& c, open_call& call, const peer_call_ended& e)
+{
+    call.forwards.is_in_flight = false;
+    if (e.answer) {
+        call.forwards.round_trip = c.now - call.forwards.last_at;
+        call.forwards.held = e.answer->held;
+    }
+}
+
 void forward_call(const context& c, call_handle handle, open_call& call)
 {
     const std::string* const address = scheduler_address(c.s);
@@ -67,6 +139,7 @@
     call.dispatched = true;
     call.last_peer_address = *address;
     call.call.forwarded_by = c.s.self.vm;
+    record_forward(c, call);
     c.add(peer_call{handle, *address, call.call, call.deadline - c.now});
 }
 
@@ -114,50 +187,6 @@
     forward_call(c, handle, call);
 }
 
-absl::string_view name_of(call_kind kind)
-{
-    switch (kind) {
-    case call_kind::submit:
-        return "submit";
-    case call_kind::query:
-        return "query";
-    case call_kind::cancel:
-        return "cancel";
-    case call_kind::count_pending:
-        return "count_pending";
-    }
-    return "";
-}
-
-absl::string_view name_of(call_result result)
-{
-    switch (result) {
-    case call_result::accepted:
-        return "accepted";
-    case call_result::state:
-        return "state";
-    case call_result::pending:
-        return "pending";
-    case call_result::cancelled:
-        return "cancelled";
-    case call_result::unknown_job:
-        return "unknown_job";
-    case call_result::unknown_queue:
-        return "unknown_queue";
-    case call_result::malformed:
-        return "malformed";
-    case call_result::overloaded:
-        return "overloaded";
-    case call_result::unavailable:
-        return "unavailable";
-    case call_result::outcome_unknown:
-        return "outcome_unknown";
-    case call_result::not_scheduler:
-        return "not_scheduler";
-    }
-    return "";
-}
-
 /// Successful polls are not logged: there are too many.
 bool should_log(const open_call& call, call_result result)
 {
@@ -167,19 +196,37 @@
     return !(is_poll && is_plain);
 }
 
+/// Adds the durations of the call's last forward, as far as they are known.
+void add_forward_fields(std::vector<log_field>& fields, const open_call& call)
+{
+    const forward_history& f = call.forwards;
+    fields.push_back({"forwards", absl::StrCat(f.count)});
+    if (f.count > 0) {
+        fields.push_back({"forwarded_after_ms", absl::StrCat((f.last_at - call.opened_at).count)});
+    }
+    if (f.round_trip) {
+        fields.push_back({"round_trip_ms", absl::StrCat(f.round_trip->count)});
+    }
+    if (f.held) {
+        fields.push_back({"held_ms", absl::StrCat(f.held->count)});
+    }
+}
+
 void log_answer(const context& c, const open_call& call, const call_answer& a)
 {
     if (call.from_peer || !should_log(call, a.result)) {
         return;
     }
-    c.log("call_answered", {{"job", call.call.job.value},
-                            {"call", std::string{name_of(call.call.kind)}},
-                            {"queue", call.call.queue.value},
-                            {"manifest", absl::StrCat(call.call.manifest_version)},
-                            {"result", std::string{name_of(a.result)}},
-                            {"retry_after_ms", absl::StrCat(a.retry_after.count)},
-                            {"age_ms", absl::StrCat((c.now - call.opened_at).count)},
-                            {"forwarded_to", call.last_peer_address}});
+    std::vector<log_field> fields{{"job", call.call.job.value},
+                                  {"call", std::string{name_of(call.call.kind)}},
+                                  {"queue", call.call.queue.value},
+                                  {"manifest", absl::StrCat(call.call.manifest_version)},
+                                  {"result", std::string{name_of(a.result)}},
+                                  {"retry_after_ms", absl::StrCat(a.retry_after.count)},
+                                  {"age_ms", absl::StrCat((c.now - call.opened_at).count)},
+                                  {"forwarded_to", call.last_peer_address}};
+    add_forward_fields(fields, call);
+    c.log("call_answered", std::move(fields));
 }
 
 /// \return the answer for a call that timed out: the outcome is unknown if it was dispatched,
@@ -235,6 +282,16 @@
     return a;
 }
 
+/// \return the answer with `held` set if it goes to a peer, otherwise without it.
+call_answer with_time_held(const context& c, const open_call& call, call_answer a)
+{
+    a.held.reset();
+    if (call.from_peer) {
+        a.held = c.now - call.opened_at;
+    }
+    return a;
+}
+
 /// Sets the call's queue, manifest version and job id from the request's host and path.
 call_result resolve(const context& c, const caller_call& e, job_call& call)
 {
@@ -321,6 +378,7 @@
     }
     open_call& call = found->second;
     call.dispatched = false;
+    record_forward_end(c, call, e);
     const call_result result = e.answer ? e.answer->result : call_result::outcome_unknown;
     const bool is_final =
         result != call_result::not_scheduler && result != call_result::outcome_unknown;
@@ -329,6 +387,8 @@
         answer(c, e.handle, *e.answer);
         return;
     }
+    log_failed_forward(c, call, e.sent ? "true" : "false",
+                       e.answer ? name_of(result) : "no_answer");
     call.maybe_accepted = call.maybe_accepted || (e.sent && result == call_result::outcome_unknown);
     // Retrying is safe: the scheduler recognizes a job that was already submitted by its id.
     call.retry_at = c.now + config::call_retry;
@@ -376,8 +436,11 @@
         return;
     }
     const open_call& call = found->second;
-    const call_answer final_answer =
-        with_jittered_retry_after(call, handle, without_unsafe_refusal(call, a));
+    if (call.forwards.is_in_flight) {
+        log_failed_forward(c, call, "unknown", "no_answer");
+    }
+    const call_answer final_answer = with_time_held(
+        c, call, with_jittered_retry_after(call, handle, without_unsafe_refusal(call, a)));
     log_answer(c, call, final_answer);
     c.add(answer_call{handle, final_answer});
     c.s.calls.erase(found);
--- a/tests/test_central_entry.cpp
+++ b/tests/test_central_entry.cpp
@@ -1,8 +1,11 @@
 /// \file
 /// Unit tests of call handling at an entry VM: answers to callers after a forwarded attempt failed
 /// or timed out.
+#include <algorithm>
 #include <map>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -57,11 +60,11 @@
     }
 
     /// Ends the forwarded call with the peer's answer, or without one.
-    void end_peer_call(std::optional<call_result> result)
+    void end_peer_call(std::optional<call_result> result, std::optional<millis> held = std::nullopt)
     {
         peer_call_ended ended{handle, true, std::nullopt};
         if (result) {
-            ended.answer = call_answer{.result = *result};
+            ended.answer = call_answer{.result = *result, .held = held};
         }
         handle_event(ended);
     }
@@ -92,6 +95,20 @@
     [[nodiscard]] std::optional<call_result> last_result() const { return last_result_; }
     [[nodiscard]] millis last_retry_after() const { return last_retry_after_; }
     [[nodiscard]] int peer_calls() const { return peer_calls_; }
+    [[nodiscard]] std::optional<millis> last_held() const { return last_held_; }
+
+    /// \return a field of the last log line of an event, or "none".
+    [[nodiscard]] std::string logged(const std::string& event, const std::string& field) const
+    {
+        const auto line = lines_.find(event);
+        if (line == lines_.end()) {
+            return "none";
+        }
+        const auto has_name = [&](const log_field& f) { return f.name == field; };
+        const auto& fields = line->second;
+        const auto found = std::find_if(fields.begin(), fields.end(), has_name);
+        return found == fields.end() ? "none" : found->value;
+    }
 
 private:
     void handle_event(const central::event& e)
@@ -100,6 +117,10 @@
             if (const auto* answer = std::get_if<answer_call>(&each)) {
                 last_result_ = answer->answer.result;
                 last_retry_after_ = answer->answer.retry_after;
+                last_held_ = answer->answer.held;
+            }
+            if (const auto* line = std::get_if<log_event>(&each)) {
+                lines_.insert_or_assign(line->name, line->fields);
             }
             peer_calls_ += std::holds_alternative<peer_call>(each) ? 1 : 0;
         }
@@ -109,6 +130,8 @@
     instant now_{1'000};
     std::optional<call_result> last_result_;
     millis last_retry_after_;
+    std::optional<millis> last_held_;
+    std::map<std::string, std::vector<log_field>> lines_;
     int peer_calls_{0};
 };
 
@@ -224,3 +247,50 @@
     vm.restore_store();
     cr_assert(vm.is_ready());
 }
+
+/// Guards against calls of which no log tells where they waited.
+Test(central_entry, lines_tell_where_a_forwarded_call_waited)
+{
+    entry_vm vm;
+    vm.submit();
+    vm.advance({20});
+    vm.end_peer_call(call_result::not_scheduler, millis{3});
+    cr_assert_eq(vm.logged("forward_failed", "result"), "not_scheduler");
+    cr_assert_eq(vm.logged("forward_failed", "sent"), "true");
+    cr_assert_eq(vm.logged("forward_failed", "age_ms"), "20");
+    vm.advance({200});
+    vm.advance({50});
+    vm.end_peer_call(call_result::accepted, millis{40});
+    cr_assert_eq(vm.logged("call_answered", "forwards"), "2");
+    cr_assert_eq(vm.logged("call_answered", "forwarded_after_ms"), "220");
+    cr_assert_eq(vm.logged("call_answered", "round_trip_ms"), "50");
+    cr_assert_eq(vm.logged("call_answered", "held_ms"), "40");
+    cr_assert_not(vm.last_held().has_value());
+}
+
+Test(central_entry, forwarded_call_without_answer_has_a_line)
+{
+    entry_vm vm;
+    vm.submit();
+    vm.advance({20});
+    vm.end_peer_call(call_result::not_scheduler, millis{3});
+    vm.advance({200});
+    vm.advance({2'780});
+    cr_assert(vm.last_result() == call_result::outcome_unknown);
+    cr_assert_eq(vm.logged("forward_failed", "result"), "no_answer");
+    cr_assert_eq(vm.logged("call_answered", "forwards"), "2");
+    cr_assert_eq(vm.logged("call_answered", "round_trip_ms"), "none");
+    cr_assert_eq(vm.logged("call_answered", "held_ms"), "none");
+}
+
+Test(central_entry, answer_to_a_peer_tells_how_long_the_call_was_held)
+{
+    entry_vm vm;
+    vm.become_scheduler();
+    vm.restore_store();
+    vm.receive_from_peer();
+    vm.advance({30});
+    vm.stop();
+    vm.advance(config::drain_time);
+    cr_assert(vm.last_held() == millis{30} + config::drain_time);
+}
