Each cancellation that the scheduler processes has a line

Change: `cancel_processed` with the job, the VM that forwarded it, what it did to the job, whether the answer waits for the store, and the time since its arrival.

--- a/src/central/jobs.cpp
+++ b/src/central/jobs.cpp
@@ -121,19 +121,41 @@
     answer(c, handle, {.result = call_result::state, .state = found->second.published_state});
 }
 
+/// Logs a cancellation that this VM processes as the scheduler.
+/// \param outcome what it did to the job.
+void log_cancellation(const context& c, call_handle handle, const job_call& call,
+                      const std::string& outcome, bool waits_for_store)
+{
+    std::vector<log_field> fields{{"job", call.job.value},
+                                  {"forwarded_by", call.forwarded_by.value},
+                                  {"outcome", outcome},
+                                  {"waits_for_store", waits_for_store ? "true" : "false"}};
+    // A call that was deferred while the jobs were being loaded may have timed out.
+    const auto open = c.s.calls.find(handle);
+    if (open != c.s.calls.end()) {
+        const millis waited = c.now - open->second.opened_at;
+        fields.push_back({"waited_ms", absl::StrCat(waited.count)});
+    }
+    c.log("cancel_processed", std::move(fields));
+}
+
 void cancel(const context& c, call_handle handle, const job_call& call)
 {
     auto& jobs = c.s.scheduler.jobs;
     const auto found = jobs.find(call.job);
     if (found == jobs.end()) {
+        log_cancellation(c, handle, call, "unknown_job", false);
         answer(c, handle, {.result = call_result::unknown_job});
         return;
     }
     job_record& job = found->second;
-    if (!job.has_ended()) {
+    const bool had_ended = job.has_ended();
+    if (!had_ended) {
         end_job(c, job, job_state::cancelled, "cancelled by its owner");
     }
-    if (job.published_state == job.state) {
+    const bool is_stored = job.published_state == job.state;
+    log_cancellation(c, handle, call, had_ended ? "ended_before" : "ended_now", !is_stored);
+    if (is_stored) {
         answer(c, handle, {.result = call_result::cancelled});
         return;
     }
--- a/tests/test_central_jobs.cpp
+++ b/tests/test_central_jobs.cpp
@@ -1,5 +1,8 @@
 /// \file
 /// Jobs under central scheduling: submission, execution, queries and cancellation.
+#include <string>
+#include <vector>
+
 #include <criterion/criterion.h>
 
 #include "central/expectations.h"
@@ -73,6 +76,34 @@
     expect_no_violation(w);
 }
 
+/// Guards against cancellations of which no log tells whether they reached the scheduler.
+Test(central_jobs, every_processed_cancellation_has_a_line)
+{
+    central_world w{{}};
+    std::vector<std::string> lines;
+    w.log_to = [&](const std::string& line) {
+        if (line.find(" cancel_processed ") != std::string::npos) {
+            lines.push_back(line.substr(line.find("job=")));
+        }
+    };
+    w.run_for(warm_up);
+    const std::size_t follower = (*w.scheduler() + 1) % 3;
+    w.submit(0, central_world::make_job(id_of(3), 1, 2, {5'000}));
+    w.run_for({200});
+    for (const auto& job : {id_of(3), id_of(3), id_of(4)}) {
+        w.cancel(follower, job);
+        w.run_for({200});
+    }
+    const std::string from = " forwarded_by=vm" + std::to_string(follower);
+    cr_assert_eq(lines.size(), 3);
+    cr_assert_eq(lines[0],
+                 "job=" + id_of(3) + from + " outcome=ended_now waits_for_store=true waited_ms=0");
+    cr_assert_eq(lines[1], "job=" + id_of(3) + from +
+                               " outcome=ended_before waits_for_store=false waited_ms=0");
+    cr_assert_eq(lines[2], "job=" + id_of(4) + from +
+                               " outcome=unknown_job waits_for_store=false waited_ms=0");
+}
+
 Test(central_jobs, failing_job_ends_after_max_attempts)
 {
     central_world w{{}};
