Routine log lines no longer displace all others

Change: `run_started`, `run_relocated`, `runner_paced` and `run_ended` with `outcome=done` may use half of the volume a second and half of the buffer. `log_lines_left_out` tells both counts, at most once a second: it was written with each flush while lines were being dropped, outside the limit. A new counter in the metrics. The test of the whole limit used `run_started`, which now has a limit of its own; it uses `run_stopped` instead and is otherwise unchanged. A new test covers the limit of routine lines.

--- a/daemon/central_metrics.cpp
+++ b/daemon/central_metrics.cpp
@@ -152,6 +152,7 @@
         out << "cuminmoor_" << name << "_total " << value << '\n';
     }
     out << "cuminmoor_log_lines_left_out_total " << log.dropped_lines() << '\n'
+        << "cuminmoor_log_routine_lines_left_out_total " << log.dropped_routine_lines() << '\n'
         << "cuminmoor_is_scheduler " << (s.lease.current_role == central::role::scheduler ? 1 : 0)
         << '\n'
         << "cuminmoor_manifest_version " << s.operators.newest.version << '\n'
--- a/daemon/line_log.cpp
+++ b/daemon/line_log.cpp
@@ -6,7 +6,9 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <ctime>
+#include <string_view>
 #include <utility>
 
 #include "logging.h"
@@ -38,6 +40,21 @@
     return bytes;
 }
 
+/// \return true for lines about the regular course of runs. Runs that failed or were stopped, jobs,
+/// calls and the lease are not routine.
+bool is_routine_line(const std::string& event, const std::vector<log_field>& fields)
+{
+    constexpr std::array<std::string_view, 3> routine_events{"run_started", "run_relocated",
+                                                             "runner_paced"};
+    if (std::find(routine_events.begin(), routine_events.end(), event) != routine_events.end()) {
+        return true;
+    }
+    const auto says_done = [](const log_field& f) {
+        return f.name == "outcome" && f.value == "done";
+    };
+    return event == "run_ended" && std::any_of(fields.begin(), fields.end(), says_done);
+}
+
 bool is_writable()
 {
     pollfd out{STDOUT_FILENO, POLLOUT, 0};
@@ -57,31 +74,56 @@
     if (now - window_start_ >= window_length) {
         window_start_ = now;
         window_bytes_ = 0;
+        window_routine_bytes_ = 0;
+        has_reported_in_window_ = false;
     }
 }
 
-bool line_log::fits(std::size_t bytes) const
+bool line_log::fits(std::size_t bytes, bool is_routine) const
+{
+    const bool fits_any =
+        window_bytes_ + bytes <= bytes_per_second && buffer_.size() + bytes <= max_buffered_bytes;
+    const bool fits_routine = window_routine_bytes_ + bytes <= routine_bytes_per_second &&
+                              buffer_.size() + bytes <= max_buffered_bytes_for_routine;
+    return fits_any && (!is_routine || fits_routine);
+}
+
+void line_log::count_dropped(bool is_routine)
 {
-    return window_bytes_ + bytes <= bytes_per_second &&
-           buffer_.size() + bytes <= max_buffered_bytes;
+    ++dropped_lines_;
+    dropped_routine_lines_ += is_routine ? 1 : 0;
+}
+
+void line_log::report_dropped_lines()
+{
+    advance_window();
+    if (dropped_lines_ == reported_dropped_lines_ || has_reported_in_window_) {
+        return;
+    }
+    buffer_ += "event=log_lines_left_out total=" + std::to_string(dropped_lines_) +
+               " routine=" + std::to_string(dropped_routine_lines_) + suffix_ + "\n";
+    reported_dropped_lines_ = dropped_lines_;
+    has_reported_in_window_ = true;
 }
 
 void line_log::add(const std::string& event, const std::vector<log_field>& fields)
 {
     advance_window();
-    if (!fits(min_line_bytes(event, fields) + suffix_.size())) {
+    const bool is_routine = is_routine_line(event, fields);
+    if (!fits(min_line_bytes(event, fields) + suffix_.size(), is_routine)) {
         // Dropped before it is formatted: under a flood of events most lines are dropped.
-        ++dropped_lines_;
+        count_dropped(is_routine);
         return;
     }
     std::string line = "t=" + std::to_string(wall_ms()) + " " + format_event(event, fields);
     line += suffix_;
     line += '\n';
-    if (!fits(line.size())) {
-        ++dropped_lines_;
+    if (!fits(line.size(), is_routine)) {
+        count_dropped(is_routine);
         return;
     }
     window_bytes_ += line.size();
+    window_routine_bytes_ += is_routine ? line.size() : 0;
     buffer_ += line;
 }
 
@@ -90,11 +132,7 @@
     if (buffer_.empty()) {
         return;
     }
-    if (dropped_lines_ != reported_dropped_lines_) {
-        buffer_ +=
-            "event=log_lines_left_out total=" + std::to_string(dropped_lines_) + suffix_ + "\n";
-        reported_dropped_lines_ = dropped_lines_;
-    }
+    report_dropped_lines();
     // Writes at most the pipe's atomic size: a larger write could block although poll reports the
     // pipe as writable.
     constexpr std::size_t atomic_bytes{4'096};
--- a/tests/test_daemon_logging.cpp
+++ b/tests/test_daemon_logging.cpp
@@ -46,11 +46,11 @@
     const std::vector<cm::log_field> fields{{"task", "a.0.0.1"}, {"detail", "two words"}};
     // The wall-clock time in ms has 13 digits.
     const std::size_t line_bytes = std::string{"t=1234567890123  vm=vm-1 fd=fd-1\n"}.size() +
-                                   io::format_event("run_started", fields).size();
+                                   io::format_event("run_stopped", fields).size();
     const std::size_t admitted = io::line_log::bytes_per_second / line_bytes;
     constexpr std::size_t lines{10'000};
     for (std::size_t i{0}; i < lines; ++i) {
-        log.add("run_started", fields);
+        log.add("run_stopped", fields);
     }
     cr_assert_eq(log.dropped_lines(), lines - admitted);
     // A line that takes exactly the remaining bytes fits once.
@@ -62,6 +62,33 @@
     log.add("e", {});
     cr_assert_eq(log.dropped_lines(), lines - admitted + 1);
     clock.time = cm::instant{6'000};
-    log.add("run_started", fields);
+    log.add("run_stopped", fields);
     cr_assert_eq(log.dropped_lines(), lines - admitted + 1);
 }
+
+/// Guards against a busy scheduler whose starts of runs displace all other lines.
+Test(line_log, routine_lines_leave_room_for_the_others)
+{
+    manual_clock clock;
+    io::line_log log{clock, "vm-1", "fd-1"};
+    const std::vector<cm::log_field> done{{"task", "a.0.0.1"}, {"outcome", "done"}};
+    const std::vector<cm::log_field> failed{{"task", "a.0.0.1"}, {"outcome", "failed"}};
+    const std::size_t line_bytes = std::string{"t=1234567890123  vm=vm-1 fd=fd-1\n"}.size() +
+                                   io::format_event("run_ended", done).size();
+    const std::size_t admitted = io::line_log::routine_bytes_per_second / line_bytes;
+    constexpr std::size_t lines{10'000};
+    for (std::size_t i{0}; i < lines; ++i) {
+        log.add("run_ended", done);
+    }
+    cr_assert_eq(log.dropped_lines(), lines - admitted);
+    cr_assert_eq(log.dropped_routine_lines(), lines - admitted);
+    log.add("run_started", {});
+    log.add("runner_paced", {});
+    log.add("run_relocated", {});
+    log.add("run_ended", failed);
+    log.add("cancel_processed", {});
+    // At most one of the three routine lines is short enough for what is left of their limit.
+    const std::size_t dropped = log.dropped_routine_lines();
+    cr_assert_geq(dropped, lines - admitted + 2);
+    cr_assert_eq(log.dropped_lines(), dropped);
+}
