An overloaded event loop reports itself; metrics of where calls wait

Change: `loop_late`, at most one line a second and only when a timer was more than 100 ms late, with the lag, the open calls, ready steps, and placement rounds and runners scored since the last such line. Histograms `peer_call_held_ms`, `peer_round_trip_ms`, `cancel_wait_ms`, counters of forwards.

--- a/daemon/central_metrics.cpp
+++ b/daemon/central_metrics.cpp
@@ -80,6 +80,9 @@
     ms_histogram commit{bh::make_histogram(bh::axis::variable<>(bucket_bounds_ms))};
     ms_histogram start{bh::make_histogram(bh::axis::variable<>(bucket_bounds_ms))};
     ms_histogram lag{bh::make_histogram(bh::axis::variable<>(bucket_bounds_ms))};
+    ms_histogram peer_call_held{bh::make_histogram(bh::axis::variable<>(bucket_bounds_ms))};
+    ms_histogram peer_round_trip{bh::make_histogram(bh::axis::variable<>(bucket_bounds_ms))};
+    ms_histogram cancel_wait{bh::make_histogram(bh::axis::variable<>(bucket_bounds_ms))};
 };
 
 central_metrics::central_metrics() : histograms_{std::make_unique<histograms>()} {}
@@ -91,6 +94,14 @@
     increment(std::string{"event_"} + event_names.at(e.index()));
     if (const auto* const call = std::get_if<central::caller_call>(&e)) {
         call_arrived_at_.emplace(call->handle, now);
+        record_call_taken(call->handle, call->kind, now);
+    }
+    else if (const auto* const peer_call = std::get_if<central::peer_call_received>(&e)) {
+        peer_call_arrived_at_.emplace(peer_call->handle, now);
+        record_call_taken(peer_call->handle, peer_call->call.kind, now);
+    }
+    else if (const auto* const ended = std::get_if<central::peer_call_ended>(&e)) {
+        record_forward_ended(*ended, now);
     }
     else if (const auto* const order = std::get_if<central::runner_order_ended>(&e)) {
         increment("order_" + enum_name(order_names, order->result));
@@ -105,10 +116,44 @@
     }
 }
 
+void central_metrics::record_call_read(central::call_handle handle, instant now)
+{
+    call_read_at_.emplace(handle, now);
+}
+
+void central_metrics::record_call_taken(central::call_handle handle, central::call_kind kind,
+                                        instant now)
+{
+    if (kind == central::call_kind::cancel) {
+        record_duration(call_read_at_, handle, now, histograms_->cancel_wait);
+    }
+    else {
+        call_read_at_.erase(handle);
+    }
+}
+
+void central_metrics::record_forward_ended(const central::peer_call_ended& e, instant now)
+{
+    if (e.answer) {
+        record_duration(forwarded_at_, e.handle, now, histograms_->peer_round_trip);
+    }
+    else {
+        increment("peer_calls_unanswered");
+        forwarded_at_.erase(e.handle);
+    }
+}
+
+void central_metrics::record(const central::peer_call& e, instant now)
+{
+    increment("peer_calls");
+    forwarded_at_[e.handle] = now;
+}
+
 void central_metrics::record(const central::answer_call& e, instant now)
 {
     increment("call_" + enum_name(result_names, e.answer.result));
     record_duration(call_arrived_at_, e.handle, now, histograms_->call);
+    record_duration(peer_call_arrived_at_, e.handle, now, histograms_->peer_call_held);
 }
 
 void central_metrics::record(const central::rows_commit& e, instant now)
@@ -165,6 +210,9 @@
     write_histogram(out, "commit", histograms_->commit);
     write_histogram(out, "start", histograms_->start);
     write_histogram(out, "lag", histograms_->lag);
+    write_histogram(out, "peer_call_held", histograms_->peer_call_held);
+    write_histogram(out, "peer_round_trip", histograms_->peer_round_trip);
+    write_histogram(out, "cancel_wait", histograms_->cancel_wait);
     return out.str();
 }
 
--- a/daemon/central_metrics.h
+++ b/daemon/central_metrics.h
@@ -23,6 +23,7 @@
     /// Counts an event and starts or ends latency measurements.
     void record(const central::event& e, instant now);
     // One overload per effect: counts it and starts or ends a latency measurement.
+    void record(const central::peer_call& e, instant now);
     void record(const central::answer_call& e, instant now);
     void record(const central::rows_commit& e, instant now);
     void record(const central::rows_read& e, instant now);
@@ -30,6 +31,8 @@
     void record(const central::runner_order& e, instant now);
     void record(const central::runner_hold& e, instant now);
 
+    /// Records that a call was read from its connection and waits for the reducer.
+    void record_call_read(central::call_handle handle, instant now);
     /// Records how late the event loop ran a timer.
     void record_lag(millis lag);
 
@@ -40,10 +43,16 @@
     struct histograms;
 
     void increment(const std::string& name) { ++counters_[name]; }
+    /// Records that the reducer is given a call.
+    void record_call_taken(central::call_handle handle, central::call_kind kind, instant now);
+    void record_forward_ended(const central::peer_call_ended& e, instant now);
 
     std::map<std::string, std::uint64_t> counters_;
     // Start times of the latencies that are being measured.
+    std::map<central::call_handle, instant> call_read_at_;
     std::map<central::call_handle, instant> call_arrived_at_;
+    std::map<central::call_handle, instant> peer_call_arrived_at_;
+    std::map<central::call_handle, instant> forwarded_at_;
     std::map<std::uint64_t, instant> commit_sent_at_;
     std::map<std::pair<central::graph_task_id, central::run_number>, instant> start_sent_at_;
     std::unique_ptr<histograms> histograms_;
--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -16,6 +16,7 @@
 #include "central_metrics.h"
 #include "central_peers.h"
 #include "central_ports.h"
+#include "lag_report.h"
 #include "line_log.h"
 #include "quiet_loop.h"
 #include "system_clock.h"
@@ -105,7 +106,12 @@
         }
     }
 
-    central::call_handle next_handle() override { return {++last_handle_}; }
+    central::call_handle next_handle() override
+    {
+        const central::call_handle handle{++last_handle_};
+        metrics_.record_call_read(handle, clock_.now());
+        return handle;
+    }
 
     [[nodiscard]] bool is_ready() const override { return central::is_ready(state_); }
     [[nodiscard]] bool is_stopping() const override { return state_.stopping; }
@@ -133,7 +139,11 @@
         }
     }
 
-    void execute(const central::peer_call& e) { peers_.execute(e); }
+    void execute(const central::peer_call& e)
+    {
+        metrics_.record(e, clock_.now());
+        peers_.execute(e);
+    }
     void execute(const central::answer_call& e)
     {
         metrics_.record(e, clock_.now());
@@ -183,13 +193,21 @@
         timer_.async_wait([this](const asio::error_code& error) {
             if (!error) {
                 is_timer_armed_ = false;
-                last_lag_ = clock_.now() - timer_due_at_;
-                metrics_.record_lag(last_lag_);
+                record_lag(clock_.now());
                 post(central::tick{});
             }
         });
     }
 
+    void record_lag(instant now)
+    {
+        last_lag_ = now - timer_due_at_;
+        metrics_.record_lag(last_lag_);
+        if (const auto fields = lag_report_.observe(last_lag_, now, state_)) {
+            log_.add("loop_late", *fields);
+        }
+    }
+
     void wait_for_signal()
     {
         signals_.async_wait([this](const asio::error_code& error, int number) {
@@ -215,6 +233,7 @@
     asio::io_context context_{1};
     central::central_state state_;
     central_metrics metrics_;
+    lag_report lag_report_;
     std::unique_ptr<http_client> http_;
     deployment_dependencies dependencies_;
     central_peers peers_;
--- a/daemon/io_limits.h
+++ b/daemon/io_limits.h
@@ -58,4 +58,9 @@
 /// Period of the snapshot that /metrics and /readyz read.
 inline constexpr millis snapshot_period{250};
 
+// Event loop of central scheduling.
+/// A timer that is later than this is reported, at most once in `lag_report_period`.
+inline constexpr millis min_reported_lag{100};
+inline constexpr millis lag_report_period{1'000};
+
 } // namespace cuminmoor::io
--- a/tests/test_daemon_central_peers.cpp
+++ b/tests/test_daemon_central_peers.cpp
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 
 #include "asio_http_client.h"
+#include "central_metrics.h"
 #include "central_peers.h"
 #include "cuminmoor/central/peer_codec.h"
 #include "raw_http_server.h"
@@ -112,3 +113,22 @@
     fixture f;
     cr_assert_not(f.run(address, central::call_kind::submit).sent);
 }
+
+Test(central_metrics, cancellation_from_a_peer_is_measured_until_taken_and_until_answered)
+{
+    constexpr central::call_handle handle{1};
+    io::central_metrics metrics;
+    central::peer_call_received received;
+    received.handle = handle;
+    received.call.kind = central::call_kind::cancel;
+    metrics.record_call_read(handle, cm::instant{1'000});
+    metrics.record(received, cm::instant{1'015});
+    metrics.record(central::answer_call{handle, {}}, cm::instant{1'115});
+    io::system_clock clock;
+    const std::string text = metrics.render({}, io::line_log{clock, "vm1", "fd1"});
+    for (const std::string line :
+         {"cancel_wait_ms_bucket{le=\"10\"} 0", "cancel_wait_ms_bucket{le=\"20\"} 1",
+          "peer_call_held_ms_bucket{le=\"100\"} 0", "peer_call_held_ms_bucket{le=\"200\"} 1"}) {
+        cr_assert(text.find("cuminmoor_" + line + "\n") != std::string::npos, "%s", line.c_str());
+    }
+}
--- a/tests/test_daemon_logging.cpp
+++ b/tests/test_daemon_logging.cpp
@@ -2,6 +2,8 @@
 /// Format of log lines, and the limits of the log.
 #include <criterion/criterion.h>
 
+#include "io_limits.h"
+#include "lag_report.h"
 #include "line_log.h"
 #include "log_limiter.h"
 #include "logging.h"
@@ -92,3 +94,20 @@
     cr_assert_geq(dropped, lines - admitted + 2);
     cr_assert_eq(log.dropped_lines(), dropped);
 }
+
+Test(lag_report, late_timers_are_reported_at_most_once_a_period)
+{
+    cm::central::central_state state;
+    state.scheduler.placement_rounds = 7;
+    io::lag_report report;
+    const cm::millis late = io::min_reported_lag + cm::millis{1};
+    cr_assert_not(report.observe(io::min_reported_lag, cm::instant{5'000}, state).has_value());
+    cr_assert(report.observe(late, cm::instant{5'000}, state).has_value());
+    state.scheduler.placement_rounds = 9;
+    cr_assert_not(report.observe(late, cm::instant{5'999}, state).has_value());
+    const auto fields = report.observe(late, cm::instant{6'000}, state);
+    cr_assert(fields.has_value());
+    cr_assert_eq(io::format_event("loop_late", *fields),
+                 "event=loop_late lag_ms=101 open_calls=0 ready_steps=0 placement_rounds=2 "
+                 "runners_scored=0 since_ms=1000");
+}
