--- a/tests/test_central_stops.cpp
+++ b/tests/test_central_stops.cpp
@@ -11,6 +11,47 @@
 namespace {
 
 constexpr millis long_run{60'000};
+/// Users tolerate runs of a cancelled job for this long: the time to order the stops, and the time
+/// that a runner takes for a stop.
+constexpr millis max_stop_time{3'000 + 400};
+/// Longer than any order in the simulation is delayed.
+constexpr millis longest_delay{12'000};
+constexpr std::size_t service_runners{6};
+constexpr std::uint32_t service_tasks{18};
+
+graph_job make_service(const std::string& id)
+{
+    graph_job job = central_world::make_job(id, 1, service_tasks, long_run);
+    job.steps[0].is_service = true;
+    return job;
+}
+
+std::size_t count_runs(central_world& w)
+{
+    std::size_t runs{0};
+    for (std::size_t i{0}; i < w.runners(); ++i) {
+        runs += w.runner(i).running.size();
+    }
+    return runs;
+}
+
+/// Delays 30 to 50 percent of the orders to runners, and drops a fifth of the other answers.
+void lose_orders(central_world& w, std::uint64_t seed)
+{
+    constexpr std::uint64_t steps{5};
+    w.faults.late_orders = 0.3 + 0.05 * static_cast<double>(seed % steps);
+    w.faults.lost_orders = 0.2;
+}
+
+void expect_cancelled_job_ends(central_world& w, const std::string& job, std::uint64_t seed)
+{
+    w.cancel(0, job);
+    w.run_for(max_stop_time);
+    cr_expect_eq(count_runs(w), 0, "seed %lu: %zu runs go on", seed, count_runs(w));
+    w.run_for(longest_delay);
+    cr_expect_eq(count_runs(w), 0, "seed %lu: %zu runs began", seed, count_runs(w));
+    expect_no_violation(w);
+}
 
 } // namespace
 
@@ -59,3 +100,32 @@
     cr_assert_leq(w.state_of(0).scheduler.stop_retry_checks, most_looks);
     expect_no_violation(w);
 }
+
+/// A stop without an answer was repeated only after its timeout and a pause: three losses took 4 s.
+Test(central_stops, stops_reach_runners_although_many_orders_are_lost)
+{
+    constexpr std::uint64_t seeds{20};
+    for (std::uint64_t seed{1}; seed <= seeds; ++seed) {
+        central_world w{{.seed = seed, .vms = 1, .runners = service_runners}};
+        w.run_for(warm_up);
+        w.submit(0, make_service(id_of(1)));
+        w.run_for({1'000});
+        cr_assert_eq(count_runs(w), service_tasks);
+        lose_orders(w, seed);
+        expect_cancelled_job_ends(w, id_of(1), seed);
+    }
+}
+
+/// The same while starts are still under way, some of them delayed beyond the cancellation.
+Test(central_stops, delayed_starts_of_a_cancelled_job_do_not_run_on)
+{
+    constexpr std::uint64_t seeds{20};
+    for (std::uint64_t seed{1}; seed <= seeds; ++seed) {
+        central_world w{{.seed = seed, .vms = 1, .runners = service_runners}};
+        w.run_for(warm_up);
+        lose_orders(w, seed);
+        w.submit(0, make_service(id_of(1)));
+        w.run_for({1'500});
+        expect_cancelled_job_ends(w, id_of(1), seed);
+    }
+}
