Failing test: a confirmed stop is not repeated while the run is reported

Test: each runner answers the first stop of each run without executing it, at 20 offsets between the cancellation and the reports.

--- a/tests/central/fake_runner.cpp
+++ b/tests/central/fake_runner.cpp
@@ -46,6 +46,10 @@
     }
     highest_term_ = order.term;
     const auto found = running.find(order.task);
+    if (order.kind == order_kind::stop && ignored_stops > 0) {
+        --ignored_stops;
+        return order_result::done;
+    }
     if (order.kind == order_kind::stop) {
         const bool runs = found != running.end() && found->second.number == order.run;
         highest_ended_run_[order.task] = std::max(highest_ended_run_[order.task], order.run);
--- a/tests/central/fake_runner.h
+++ b/tests/central/fake_runner.h
@@ -54,6 +54,8 @@
     runner_entry entry;
     instant started_at;
     bool is_up{true};
+    /// Number of further stop orders that it answers but does not execute.
+    std::uint32_t ignored_stops{0};
     std::map<graph_task_id, active_run> running;
     /// Called for each end: task, run, cause.
     std::function<void(const graph_task_id&, run_number, end_cause, instant)> on_end;
--- a/tests/test_central_stops.cpp
+++ b/tests/test_central_stops.cpp
@@ -157,3 +157,21 @@
         expect_all_runs_end(w, seed);
     }
 }
+
+/// A confirmed stop was not sent again, although later reports listed the run.
+Test(central_stops, confirmed_stop_of_a_run_that_goes_on_is_repeated)
+{
+    constexpr std::int64_t hold_ms{2'000};
+    constexpr std::int64_t step_ms{100};
+    for (std::int64_t offset{0}; offset < hold_ms; offset += step_ms) {
+        central_world w{{.vms = 1, .runners = service_runners}};
+        w.run_for(warm_up);
+        w.submit(0, make_service(id_of(1)));
+        w.run_for({1'000 + offset});
+        cr_assert_eq(count_runs(w), service_tasks);
+        for (std::size_t i{0}; i < w.runners(); ++i) {
+            w.runner(i).ignored_stops = static_cast<std::uint32_t>(w.runner(i).running.size());
+        }
+        expect_cancelled_job_ends(w, id_of(1), 1);
+    }
+}
