Stops: repeat a confirmed stop while the run is still reported

Now a run that its runner reports 0.9 s or more after it confirmed the stop is stopped again, and the earlier confirmation no longer counts as evidence of its end. The age is taken on the runner's own clock, between the confirmation and the report, so a delayed report proves nothing and the long poll under way at the confirmation counts if it is answered late enough. A report of a later hold with an earlier clock is of a restarted runner, which knows no stops: the stop is repeated at once. The same holds for runs that belong to no current task.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -86,6 +86,8 @@
 /// at most once per `stop_retry_interval`.
 inline constexpr millis stop_retry{300};
 inline constexpr millis stop_retry_interval{20};
+/// A run that is still reported this long after its stop was confirmed is stopped again.
+inline constexpr millis stop_completion_time{stop_retry * 3};
 /// A repeat does not wait for the answer to the order before, unless at least this many stop orders
 /// are open: on the runner, where each occupies a connection, or on all runners together.
 inline constexpr std::uint32_t max_open_stops_of_runner{10};
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -71,6 +71,8 @@
     /// Number of the last hold sent before the runner confirmed the stop; 0: not confirmed. If the
     /// report of a later hold does not list the run, it has ended.
     std::uint64_t confirmed_at_hold{0};
+    /// The runner's clock when it confirmed the stop.
+    remote_instant confirmed_clock;
 };
 
 /// One start of a task on a runner, from the start order until the run has certainly ended.
--- a/src/central/run_reports.cpp
+++ b/src/central/run_reports.cpp
@@ -123,9 +123,13 @@
     const bool is_known = is_current_run(ref, r.entry.id, reported.run);
     if (!is_known && !adopt_run(c, r, reported, ref)) {
         stop_orphan(c, r, reported.task, reported.run);
+        repeat_unexecuted_stop(c, r, reported);
         return;
     }
     run& known = *ref.task->current_run;
+    if (known.phase == run_phase::stopping) {
+        repeat_unexecuted_stop(c, r, reported);
+    }
     known.load = reported.load;
     known.progress = reported.percent;
     if (!known.started_by) {
--- a/src/central/runs.h
+++ b/src/central/runs.h
@@ -21,6 +21,9 @@
 /// Records that the runner has confirmed a stop.
 void confirm_stop(const context& c, const runner_record& r, const runner_order_ended& e,
                   run_stop& stop);
+/// Stops a reported run again if the runner confirmed its stop longer than `stop_completion_time`
+/// before the report.
+void repeat_unexecuted_stop(const context& c, runner_record& r, const reported_run& reported);
 /// Ends the repeats of a run's stop order.
 void forget_stop(const context& c, const graph_task_id& id, const run& stopped);
 /// Logs an event of a run.
--- a/src/central/stops.cpp
+++ b/src/central/stops.cpp
@@ -108,9 +108,25 @@
         return;
     }
     stop.confirmed_at_hold = r.holds_sent;
+    stop.confirmed_clock = e.clock.value_or(r.last_alive.shown);
     c.s.scheduler.unconfirmed_stops.erase(key_of(r.entry.id, e.task, e.run, stop));
 }
 
+void repeat_unexecuted_stop(const context& c, runner_record& r, const reported_run& reported)
+{
+    run_stop* const stop = find_stop(c, r, reported.task, reported.run);
+    if (stop == nullptr || stop->confirmed_at_hold == 0) {
+        return;
+    }
+    const millis since{r.last_alive.shown.ms - stop->confirmed_clock.ms};
+    const bool is_restarted = since < millis{0} && r.holds_sent > stop->confirmed_at_hold;
+    if (!is_restarted && since < config::stop_completion_time) {
+        return;
+    }
+    stop->confirmed_at_hold = 0;
+    order_stop(c, r, reported.task, reported.run, *stop);
+}
+
 void forget_stop(const context& c, const graph_task_id& id, const run& stopped)
 {
     c.s.scheduler.unconfirmed_stops.erase(key_of(stopped.runner, id, stopped.number, stopped.stop));
