Stops: log repeats, answers that confirm nothing, and how long a stop took

Now `stop_repeated` has the reason and the number of the order, `stop_unconfirmed` the result of an order that confirmed nothing, and `foreign_run_ended` ends what `foreign_run_stopped` begins. Ends of runs that were being stopped have `stopping_ms` and `stop_orders`. An ordinary confirmation logs nothing. `run_lost` takes its common fields from where the other events of runs do.

--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -125,6 +125,10 @@
     if (is_confirmed) {
         confirm_stop(c, *r, e, *stop);
     }
+    else if (stop->confirmed_at_hold == 0) {
+        log_stop(c, "stop_unconfirmed", {stop->retry_at, e.runner, e.task, e.run}, *stop,
+                 name_of(e.result));
+    }
 }
 
 void on_pace_ended(const context& c, const runner_order_ended& e)
--- a/src/central/run_reports.cpp
+++ b/src/central/run_reports.cpp
@@ -30,6 +30,13 @@
     return "";
 }
 
+void log_orphan_ended(const context& c, const runner_record& r, const graph_task_id& id,
+                      const orphan_run& orphan, const char* outcome)
+{
+    const unconfirmed_stop stopped{orphan.stop.retry_at, r.entry.id, id, orphan.number};
+    log_stop(c, "foreign_run_ended", stopped, orphan.stop, outcome);
+}
+
 /// Marks a task as done. The completion of one gang member completes the whole gang.
 void finish_tasks(const context& c, const graph_task_id& id, task_ref ref)
 {
@@ -167,9 +174,14 @@
             stop_run(c, id, missing);
         }
     }
-    std::erase_if(r.orphans, [&](const auto& orphan) {
-        const std::uint64_t hold = orphan.second.stop.confirmed_at_hold;
-        return hold != 0 && hold < r.holds_sent && !listed.contains(orphan.first);
+    std::erase_if(r.orphans, [&](const auto& each) {
+        const auto& [id, orphan] = each;
+        const std::uint64_t hold = orphan.stop.confirmed_at_hold;
+        const bool has_ended = hold != 0 && hold < r.holds_sent && !listed.contains(id);
+        if (has_ended) {
+            log_orphan_ended(c, r, id, orphan, "stopped and no longer reported");
+        }
+        return has_ended;
     });
 }
 
@@ -179,6 +191,7 @@
 {
     const auto orphan = r.orphans.find(e.task);
     if (orphan != r.orphans.end() && orphan->second.number <= e.run) {
+        log_orphan_ended(c, r, e.task, orphan->second, name_of(e.cause));
         r.orphans.erase(orphan);
     }
     const task_ref ref = find_task(c.s, e.task);
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -14,6 +14,22 @@
 
 namespace {
 
+std::vector<log_field> fields_of(const context& c, const graph_task_id& id, const run& r,
+                                 const std::string& outcome)
+{
+    std::vector<log_field> fields{{"task", to_string(id)},
+                                  {"run", absl::StrCat(r.number.value)},
+                                  {"runner", r.runner.value},
+                                  {"outcome", outcome},
+                                  {"age_ms", absl::StrCat((c.now - r.ordered_at).count)}};
+    if (r.stop.orders > 0) {
+        const millis stopping = c.now - r.stop.first_ordered_at;
+        fields.push_back({"stopping_ms", absl::StrCat(stopping.count)});
+        fields.push_back({"stop_orders", absl::StrCat(r.stop.orders)});
+    }
+    return fields;
+}
+
 /// Releases a run whose runner restarted or whose lease expired.
 ///
 /// While the start order is unanswered, the run is kept and flagged instead: the answer may come
@@ -27,14 +43,11 @@
         return;
     }
     const millis survived = std::max(millis{0}, r.last_alive.seen_at - lost_run.ordered_at);
-    c.log("run_lost", {{"task", to_string(id)},
-                       {"run", absl::StrCat(lost_run.number.value)},
-                       {"runner", lost_run.runner.value},
-                       {"outcome", cause},
-                       {"age_ms", absl::StrCat((c.now - lost_run.ordered_at).count)},
-                       {"survived_ms", absl::StrCat(survived.count)},
-                       {"draining", r.entry.draining ? "true" : "false"},
-                       {"runs", absl::StrCat(r.runs.size())}});
+    std::vector<log_field> fields = fields_of(c, id, lost_run, cause);
+    fields.push_back({"survived_ms", absl::StrCat(survived.count)});
+    fields.push_back({"draining", r.entry.draining ? "true" : "false"});
+    fields.push_back({"runs", absl::StrCat(r.runs.size())});
+    c.log("run_lost", std::move(fields));
     release_run(c, id, ref);
 }
 
@@ -68,11 +81,7 @@
 void log_run(const context& c, const char* name, const graph_task_id& id, const run& r,
              const char* outcome)
 {
-    c.log(name, {{"task", to_string(id)},
-                 {"run", absl::StrCat(r.number.value)},
-                 {"runner", r.runner.value},
-                 {"outcome", outcome},
-                 {"age_ms", absl::StrCat((c.now - r.ordered_at).count)}});
+    c.log(name, fields_of(c, id, r, outcome));
 }
 
 void requeue_task(const context& c, const graph_task_id& id, task_ref ref)
--- a/src/central/runs.h
+++ b/src/central/runs.h
@@ -24,6 +24,9 @@
 /// Stops a reported run again if the runner confirmed its stop longer than `stop_completion_time`
 /// before the report.
 void repeat_unexecuted_stop(const context& c, runner_record& r, const reported_run& reported);
+/// Logs an event of a run that is being stopped.
+void log_stop(const context& c, const char* name, const unconfirmed_stop& stopped,
+              const run_stop& stop, const char* outcome);
 /// Ends the repeats of a run's stop order.
 void forget_stop(const context& c, const graph_task_id& id, const run& stopped);
 /// Logs an event of a run.
--- a/src/central/stops.cpp
+++ b/src/central/stops.cpp
@@ -57,6 +57,7 @@
     }
     if (may_repeat(c, *r, *stop)) {
         order_stop(c, *r, due.task, due.run, *stop);
+        log_stop(c, "stop_repeated", due, *stop, "not confirmed");
     }
     else {
         schedule_repeat(c, *r, due.task, due.run, *stop);
@@ -125,6 +126,19 @@
     }
     stop->confirmed_at_hold = 0;
     order_stop(c, r, reported.task, reported.run, *stop);
+    log_stop(c, "stop_repeated", key_of(r.entry.id, reported.task, reported.run, *stop), *stop,
+             "confirmed, but still reported");
+}
+
+void log_stop(const context& c, const char* name, const unconfirmed_stop& stopped,
+              const run_stop& stop, const char* outcome)
+{
+    c.log(name, {{"task", to_string(stopped.task)},
+                 {"run", absl::StrCat(stopped.run.value)},
+                 {"runner", stopped.runner.value},
+                 {"outcome", outcome},
+                 {"stopping_ms", absl::StrCat((c.now - stop.first_ordered_at).count)},
+                 {"stop_orders", absl::StrCat(stop.orders)}});
 }
 
 void forget_stop(const context& c, const graph_task_id& id, const run& stopped)
