--- a/tests/test_central_faults.cpp
+++ b/tests/test_central_faults.cpp
@@ -332,8 +332,11 @@
 
 class random_fault_test {
 public:
-    explicit random_fault_test(std::uint64_t seed)
-        : seed_{seed}, random_{seed}, w_{{.seed = seed, .vms = vm_count, .runners = runner_count}}
+    /// \param reports_wait calls overtake reports; then no runner restarts under its id.
+    explicit random_fault_test(std::uint64_t seed, bool reports_wait = false)
+        : seed_{seed}, reports_wait_{reports_wait}, random_{seed}, w_{{.seed = seed,
+                                                                       .vms = vm_count,
+                                                                       .runners = runner_count}}
     {
     }
 
@@ -413,7 +416,12 @@
             w_.set_listed(runner, below(2) == 0);
             break;
         case 8:
-            w_.crash_runner(runner);
+            if (reports_wait_) {
+                w_.faults.runner_event_wait = {static_cast<std::int64_t>(below(1'000))};
+            }
+            else {
+                w_.crash_runner(runner);
+            }
             break;
         case 9:
             w_.faults.unreachable_runner_paths.insert({vm, runner});
@@ -458,6 +466,7 @@
     }
 
     std::uint64_t seed_;
+    bool reports_wait_;
     std::mt19937_64 random_;
     central_world w_;
     std::uint64_t jobs_{0};
@@ -481,6 +490,13 @@
     }
 }
 
+Test(central_faults, random_faults_preserve_invariants_while_calls_overtake_reports)
+{
+    for (std::uint64_t seed{first_seed}; seed <= last_seed; ++seed) {
+        random_fault_test{seed, true}.run();
+    }
+}
+
 namespace {
 
 /// \return a VM that is not the scheduler.
