Placement: the choice of a runner has a file of its own

placement.cpp held both what makes a runner feasible and best for a task, and the rounds that place tasks. The first part moves to runner_selector.cpp; no code is changed but for its place.

--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -183,6 +183,10 @@
 // ---- placement.cpp
 /// Starts ready tasks on feasible runners, most urgent steps first.
 void place_ready_tasks(const context& c);
+
+// ---- runner_selector.cpp
+/// \return true if the runner accepts new runs now.
+bool is_schedulable(const context& c, const runner_record& r);
 /// \return the runners that accept new runs now.
 std::vector<runner_record*> schedulable_runners(const context& c);
 /// Requirements of a leftover task on a runner.
@@ -195,6 +199,10 @@
     best_effort,
 };
 
+/// \return true if a schedulable runner can take the task.
+bool is_feasible(const context& c, const runner_record& r, const graph_task_id& id,
+                 const task_ref& ref, runner_requirement requirement);
+
 /// Selects runners for many tasks in a placement round, in which free capacity only shrinks. Caches
 /// rejected task sizes, so that tasks of the same or a larger size are rejected without scoring
 /// runners.
