Placement: changed runners count within a round's limit, and a dear round ends in a bounded pause

Cause (review): after a change of the registry or the manifest all runners were offered to all waiting steps in one round, and the pause that this earned left free capacity idle for a second. Change: runners over the limit are left to the next round; no pause exceeds 200 ms; an incomplete round asks for the next one; steps that do not use leftover time are not offered twice.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -11,6 +11,8 @@
 
 /// Longest time between two periodic checks of the reducer.
 inline constexpr millis tick_period{100};
+/// Minimum time between checks that run with other events, as a tick is due but waits.
+inline constexpr millis min_check_interval{5};
 
 // The scheduler's lease.
 /// A lease whose row has not changed for this long may be claimed by another VM.
@@ -129,10 +131,13 @@
 /// Minimum time between placement rounds if no step became ready in between.
 inline constexpr millis placement_interval{10};
 /// Runners that placement may score per millisecond of a core's time for tasks that do not start.
-/// After a round that scored more than that, the next one waits until it has kept to it.
+/// After a round that scored more than that, the next one waits until it has kept to it, but not
+/// longer than the pause: capacity that became free stands idle meanwhile.
 inline constexpr std::int64_t max_scored_runners_per_ms{2'000};
+inline constexpr millis max_placement_pause{200};
 /// A round that has scored this many runners for steps that it offered all runners in vain offers
-/// further steps only the changed runners, and leaves the rest to the next round.
+/// further steps only the changed runners, and leaves the rest to the next round. It also offers no
+/// more changed runners than may be scored this often by all steps.
 inline constexpr std::uint64_t max_scored_runners_per_round{20'000};
 /// Cost of visiting a waiting step, in scored runners.
 inline constexpr std::uint64_t step_visit_cost{5};
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -33,6 +33,8 @@
     std::vector<runner_record*> runners;
     /// Those of them that have changed since the last round, and some others in turn.
     std::vector<runner_record*> changed;
+    /// Further runners that have changed, left to the next round.
+    std::vector<runner_record*> postponed;
     runner_selector selector{c};
     /// `scheduler_state::runners_scored` when the round began.
     std::uint64_t scored_before{c.s.scheduler.runners_scored};
@@ -65,24 +67,46 @@
             r.antagonist_latency_rise};
 }
 
+/// Finds the runners to offer to steps that were rejected before: as many as keep the round within
+/// its limit, beginning where the last round has stopped.
 void find_changed_runners(const context& c, placement_round& round)
 {
-    std::size_t& next = c.s.scheduler.next_reoffered_runner;
     const std::size_t count = round.runners.size();
-    for (std::size_t i{0}; i < count; ++i) {
-        runner_record* const r = round.runners[i];
-        const bool is_reoffered = (i + count - next % count) % count < config::reoffered_runners;
-        if (is_reoffered || r->last_offer != offer_of(*r)) {
-            round.changed.push_back(r);
+    const std::size_t steps = std::max<std::size_t>(c.s.scheduler.ready.size(), 1);
+    const std::size_t most = std::max<std::size_t>(config::max_scored_runners_per_round / steps,
+                                                   config::reoffered_runners);
+    const std::size_t first = c.s.scheduler.next_reoffered_runner;
+    std::vector<std::size_t> changed;
+    for (std::size_t i{first}; i < first + count; ++i) {
+        runner_record* const r = round.runners[i % count];
+        const bool is_reoffered = i - first < config::reoffered_runners;
+        if (!is_reoffered && r->last_offer == offer_of(*r)) {
+            continue;
         }
+        if (changed.size() < most) {
+            changed.push_back(i % count);
+            c.s.scheduler.next_reoffered_runner = i + 1;
+        }
+        else {
+            round.postponed.push_back(r);
+        }
+    }
+    if (round.postponed.empty()) {
+        c.s.scheduler.next_reoffered_runner = first + config::reoffered_runners;
+    }
+    round.is_incomplete = !round.postponed.empty();
+    // Of runners with the same score the first is selected, in the order of all runners.
+    std::sort(changed.begin(), changed.end());
+    for (const std::size_t i : changed) {
+        round.changed.push_back(round.runners[i]);
     }
-    next = count == 0 ? 0 : (next + config::reoffered_runners) % count;
 }
 
 placement_round begin_round(const context& c)
 {
     ++c.s.scheduler.placement_rounds;
-    placement_round round{.c = c, .runners = schedulable_runners(c), .changed = {}};
+    placement_round round{
+        .c = c, .runners = schedulable_runners(c), .changed = {}, .postponed = {}};
     find_changed_runners(c, round);
     return round;
 }
@@ -107,9 +131,16 @@
             r.last_offer = offer_of(r);
         }
     }
+    for (runner_record* const r : round.postponed) {
+        r->last_offer.reset();
+    }
     const std::uint64_t cost = round.scored_in_vain() + visited_steps * config::step_visit_cost;
-    s.next_placement_at = c.now + time_for_scoring(c.s, cost);
-    s.placement_due = s.placement_due || round.is_incomplete;
+    const millis pause = std::min(time_for_scoring(c.s, cost), config::max_placement_pause);
+    s.next_placement_at = c.now + pause;
+    if (round.is_incomplete) {
+        s.placement_due = true;
+        c.wake_by(s.next_placement_at);
+    }
 }
 
 /// \return the best feasible runner, or null. A rejection by all runners is recorded.
@@ -279,6 +310,10 @@
 void start_if_starved(placement_round& round, const graph_task_id& id, const job_record& job)
 {
     const context& c = round.c;
+    if (!find_task(c.s, id).step->uses_leftover) {
+        // It needs the same capacity at best effort.
+        return;
+    }
     const millis idle = c.now - job.idle_since;
     if (is_starved(c, job) && place_task(round, id, runner_requirement::best_effort)) {
         c.log("starved_job_started",
--- a/tests/test_central_placement_cost.cpp
+++ b/tests/test_central_placement_cost.cpp
@@ -92,3 +92,35 @@
     cr_expect_eq(w.starts(), (runners + 1) * tasks_per_runner);
     expect_no_violation(w);
 }
+
+/// After each change of the manifest all runners were offered to all waiting steps in one round,
+/// and the long pause after it left free capacity idle.
+Test(central_placement_cost, changes_of_all_runners_do_not_make_rounds_dear)
+{
+    constexpr millis long_run{20'000};
+    constexpr std::uint64_t changes{20};
+    central_world w = make_world();
+    for (std::uint64_t n{1}; n <= runners; ++n) {
+        w.submit(0, central_world::make_job(id_of(n), 1, tasks_per_runner, long_run));
+    }
+    for (std::uint64_t n{1}; n <= waiting_jobs; ++n) {
+        w.submit(0, job_of_own_size(runners + n, 1, long_run));
+    }
+    w.run_for({1'000});
+    const scheduler_state& s = w.state_of(0).scheduler;
+    for (std::uint64_t i{0}; i < changes; ++i) {
+        w.change_manifest([](manifest& /*m*/) {});
+        const std::uint64_t scored_before = s.runners_scored;
+        const std::uint64_t rounds_before = s.placement_rounds;
+        w.run_for({50});
+        const std::uint64_t rounds = s.placement_rounds - rounds_before;
+        const std::uint64_t scored = s.runners_scored - scored_before;
+        cr_expect_leq(scored, (rounds + 1) * config::max_scored_runners_per_round,
+                      "%lu runners scored in %lu rounds", scored, rounds);
+    }
+    const std::uint64_t starts = w.starts();
+    w.cancel(0, id_of(1));
+    w.run_for(config::max_placement_pause * 2);
+    cr_expect_geq(w.starts(), starts + tasks_per_runner - 1);
+    expect_no_violation(w);
+}
