--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -603,6 +603,8 @@
     bool shutdown_reported{false};
     /// The reducer needs a tick no later than this.
     instant wake_at{never};
+    /// While a tick waits, due checks run with other events, but not again before this time.
+    instant next_check_at;
 };
 
 /// \return true if new connections of callers should come to this VM: it knows the queues, is not
--- a/src/central/reduce.cpp
+++ b/src/central/reduce.cpp
@@ -151,7 +151,10 @@
     effects out;
     const context c{s, out, now, wall_time};
     const bool is_tick = std::holds_alternative<tick>(e);
-    const bool is_due = is_tick || now >= s.wake_at;
+    const bool is_due = is_tick || (now >= s.wake_at && now >= s.next_check_at);
+    if (is_due) {
+        s.next_check_at = now + config::min_check_interval;
+    }
     if (is_tick) {
         s.wake_at = now + config::tick_period;
     }
