--- a/tests/test_central_stops.cpp
+++ b/tests/test_central_stops.cpp
@@ -48,7 +48,7 @@
     w.run_for(max_stop_time);
     cr_expect_eq(count_runs(w), 0, "seed %lu: %zu runs go on", seed, count_runs(w));
     w.run_for(longest_delay);
-    cr_expect_eq(count_runs(w), 0, "seed %lu: %zu runs began", seed, count_runs(w));
+    cr_expect_eq(count_runs(w), 0, "seed %lu: %zu runs go on or began", seed, count_runs(w));
     expect_no_violation(w);
 }
 
@@ -97,7 +97,7 @@
     cr_assert_eq(w.runner(0).running.size(), tasks);
     w.run_for({1'300});
     cr_assert_eq(w.runner(0).running.size(), 0);
-    // Only runs with a failed stop were checked, when their retries were due.
+    // Only runs with an unconfirmed stop were checked, when their repeats were due.
     cr_assert_leq(w.state_of(0).scheduler.stop_retry_checks, most_looks);
     // The delayed orders arrive and have no effect.
     w.run_for({12'000});
