--- a/tests/test_central_faults.cpp
+++ b/tests/test_central_faults.cpp
@@ -631,7 +631,7 @@
     void change_faults()
     {
         const std::size_t vm = below(vm_count);
-        switch (below(14)) {
+        switch (below(15)) {
         case 0:
             w_.kill(vm);
             break;
