--- a/review/standins/http_server.cpp
+++ b/review/standins/http_server.cpp
@@ -8,6 +8,7 @@
 
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
+#include <unistd.h>
 
 namespace review {
 
@@ -236,9 +237,25 @@
 
 std::uint16_t free_port()
 {
+    // Below the ports that outgoing connections take, so that an address stays free while a process
+    // is down. Each process begins elsewhere.
+    constexpr unsigned first{12'000};
+    constexpr unsigned count{16'000};
+    constexpr unsigned ports_per_process{64};
+    static unsigned next{static_cast<unsigned>(getpid()) * ports_per_process};
     asio::io_context loop;
-    tcp::acceptor probe{loop, {asio::ip::address_v4::loopback(), 0}};
-    return probe.local_endpoint().port();
+    for (unsigned tries{0}; tries < count; ++tries) {
+        const auto port = static_cast<std::uint16_t>(first + next++ % count);
+        tcp::acceptor probe{loop};
+        asio::error_code error;
+        probe.open(tcp::v4());
+        probe.set_option(asio::socket_base::reuse_address{true});
+        probe.bind({asio::ip::address_v4::loopback(), port}, error);
+        if (!error) {
+            return port;
+        }
+    }
+    return 0;
 }
 
 } // namespace review
