--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -12,7 +12,12 @@
 FOLDER=$(mktemp -d) || exit 2
 export FOLDER
 trap 'rm -rf "$FOLDER"' EXIT
-cd "$here" && timeout --signal=TERM 118 "$case"
+cd "$here" || exit 2
+# `timeout` is the leader of a process group, to which the entry VMs belong.
+timeout --signal=TERM 118 "$case" &
+group=$!
+wait "$group"
 code=$?
+kill -KILL -- "-$group" 2>/dev/null
 [ "$code" -le 1 ] || code=2
 exit "$code"
