--- a/daemon/asio_http_client.cpp
+++ b/daemon/asio_http_client.cpp
@@ -108,6 +108,8 @@
     [[nodiscard]] bool was_used() const { return was_used_; }
     [[nodiscard]] bool has_answer_bytes() const { return has_answer_bytes_; }
     [[nodiscard]] bool is_reusable() const { return is_reusable_; }
+    [[nodiscard]] instant answered_at() const { return answered_at_; }
+    void set_answered_at(instant at) { answered_at_ = at; }
     [[nodiscard]] pending_call* current() const { return call_.get(); }
     call_ptr take_call() { return std::move(call_); }
 
@@ -273,6 +275,8 @@
     bool in_value_{false};
     bool is_complete_{false};
     bool is_reusable_{true};
+    /// When the last whole answer arrived; it proves that the connection worked then.
+    instant answered_at_;
 };
 
 using connection_ptr = std::shared_ptr<connection>;
@@ -426,6 +430,7 @@
     void on_answered(std::uint64_t number) override
     {
         const connection_ptr c = connections_.at(number);
+        c->set_answered_at(clock_.now());
         call_ptr call = c->take_call();
         unbook(*call);
         put_back(c);
@@ -485,6 +490,21 @@
         }
     }
 
+    /// Closes the idle connections to an address that have carried no answer since `since`:
+    /// whatever silenced one connection may have silenced them too, and nothing else would show it.
+    void close_unproven(const std::string& address, instant since)
+    {
+        std::vector<connection_ptr> unproven;
+        for (const connection_ptr& c : hosts_[address].idle) {
+            if (c->answered_at() < since) {
+                unproven.push_back(c);
+            }
+        }
+        for (const connection_ptr& c : unproven) {
+            close(c);
+        }
+    }
+
     void finish(call_ptr call, http_outcome outcome, std::string reason)
     {
         deadlines_.erase({call->call.deadline, call->number});
@@ -504,6 +524,9 @@
             call = c->take_call();
             unbook(*call);
             close(c);
+            if (reason != nullptr && call->sent && !c->has_answer_bytes()) {
+                close_unproven(c->address(), call->result.sent_at);
+            }
         }
         else {
             call = take_waiting(number);
--- a/include/cuminmoor/central/event.h
+++ b/include/cuminmoor/central/event.h
@@ -315,6 +315,8 @@
     /// The runner answers when a run ends, or after this time.
     millis wait;
     millis timeout;
+    /// Open a new connection, as the kept ones may have failed without a sign.
+    bool fresh_connection{false};
 };
 
 struct reported_run {
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -326,6 +326,8 @@
     std::uint64_t holds_sent{0};
     instant next_hold_at;
     std::uint32_t holds_failed{0};
+    /// The last hold was sent and got no answer.
+    bool hold_was_unanswered{false};
     /// Number of the last processed end.
     std::uint64_t last_processed_end{0};
     /// Number of the last end whose consequences are stored.
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -58,7 +58,7 @@
     r.hold_times_out_at = c.now + wait + config::runner_timeout;
     ++r.holds_sent;
     c.add(runner_hold{r.entry.id, r.entry.address, c.s.lease.term, until, r.acknowledgement_sent,
-                      wait, wait + config::runner_timeout});
+                      wait, wait + config::runner_timeout, r.hold_was_unanswered});
 }
 
 /// Resets the per-incarnation state of a runner that restarted under the same id.
@@ -93,6 +93,7 @@
 void on_hold_failed(const context& c, runner_record& r, order_result result)
 {
     ++r.holds_failed;
+    r.hold_was_unanswered = result == order_result::unknown;
     if (r.is_responsive) {
         log_runner(c, "runner_lost", r,
                    result == order_result::other_incarnation ? "other incarnation" : "");
@@ -135,6 +136,7 @@
     }
     r.is_responsive = true;
     r.holds_failed = 0;
+    r.hold_was_unanswered = false;
     for (const reported_end& end : e.ended) {
         if (end.number > r.last_processed_end) {
             process_reported_end(c, r, end);
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -741,8 +741,11 @@
 void central_world::execute(std::size_t vm, const runner_hold& e)
 {
     const std::uint64_t incarnation = vms_[vm].incarnation;
+    if (faults.kept_connections_are_silent && e.fresh_connection) {
+        fresh_connections_.emplace(vm, e.runner);
+    }
     schedule(now_ + network_time, [this, vm, incarnation, e] {
-        if (!can_reach(vm, index_of(e.runner))) {
+        if (!can_reach(vm, index_of(e.runner)) || is_silent(vm, e)) {
             runner_hold_ended failed;
             failed.runner = e.runner;
             failed.term = e.term;
@@ -759,12 +762,17 @@
     });
 }
 
+bool central_world::is_silent(std::size_t vm, const runner_hold& hold) const
+{
+    return faults.kept_connections_are_silent && !fresh_connections_.contains({vm, hold.runner});
+}
+
 void central_world::answer_hold(const open_hold& h)
 {
     const std::size_t runner = index_of(h.hold.runner);
     // A restart of the runner breaks the connection.
     const bool is_same_incarnation = runners_[runner].started_at == h.started_at;
-    if (!can_reach(h.vm, runner) || !is_same_incarnation) {
+    if (!can_reach(h.vm, runner) || !is_same_incarnation || is_silent(h.vm, h.hold)) {
         runner_hold_ended failed;
         failed.runner = h.hold.runner;
         failed.term = h.hold.term;
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -58,6 +58,8 @@
     std::set<std::size_t> unreachable_runners;
     /// Pairs (VM, runner) that cannot reach each other.
     std::set<std::pair<std::size_t, std::size_t>> unreachable_runner_paths;
+    /// Connections from VMs to runners that are open already carry nothing any more; new ones work.
+    bool kept_connections_are_silent{false};
     /// Pairs of VMs of which the first cannot connect to the second.
     std::set<std::pair<std::size_t, std::size_t>> unreachable_peers;
     /// Share of peer calls that arrive but whose answer is lost.
@@ -237,6 +239,8 @@
     void answer_due_holds();
     void answer_hold(const open_hold& h);
     [[nodiscard]] bool can_reach(std::size_t vm, std::size_t runner) const;
+    /// \return true if the hold's connection carries nothing any more.
+    [[nodiscard]] bool is_silent(std::size_t vm, const runner_hold& hold) const;
     [[nodiscard]] bool store_answers(std::size_t vm) const;
     [[nodiscard]] std::size_t index_of(const runner_id& id) const;
     bool chance(double share);
@@ -266,6 +270,8 @@
     row_version last_version_{0};
     operator_configuration operators_;
     std::vector<open_hold> holds_;
+    /// Pairs (VM, runner) with a connection that was opened after the others went silent.
+    std::set<std::pair<std::size_t, runner_id>> fresh_connections_;
     std::map<std::string, caller_view> callers_;
     struct client_call {
         std::string job;
--- a/tests/test_central_takeover.cpp
+++ b/tests/test_central_takeover.cpp
@@ -365,3 +365,21 @@
     h.handle_event(page);
     cr_assert(h.s.scheduler.loading.jobs.is_complete);
 }
+
+/// Guards against leases that lapse because each repeated hold goes over one more connection that
+/// has gone silent (review/1): the repeat asks for a new connection, so all runs go on.
+Test(central_takeover, runs_outlive_connections_that_go_silent)
+{
+    central_world w{{.vms = vms, .runners = 10}};
+    w.run_for(warm_up);
+    submit_service_jobs(w);
+    w.faults.kept_connections_are_silent = true;
+    w.run_for({20'000});
+    std::size_t running{0};
+    for (std::size_t i{0}; i < w.runners(); ++i) {
+        running += w.runner(i).running.size();
+    }
+    cr_assert_eq(running, jobs);
+    cr_assert_eq(w.starts(), jobs);
+    expect_no_violation(w);
+}
