--- a/include/cuminmoor/central/event.h
+++ b/include/cuminmoor/central/event.h
@@ -354,6 +354,8 @@
     std::int64_t started_at_ms{0};
     std::vector<reported_run> running;
     std::vector<reported_end> ended;
+    /// `ended` may lack later ends: the runner lists them once these are acknowledged.
+    bool has_more_ends{false};
     /// Term of the hold.
     term_number term;
 };
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -289,6 +289,8 @@
     bool is_responsive{false};
     /// It has answered a hold of this term, so it rejects orders of earlier terms.
     bool is_fenced{false};
+    /// A report of this term has listed all its ends, so all that it ran in earlier terms is known.
+    bool has_listed_all_ends{false};
     /// A service there missed its target in the last report, or nearly so.
     bool is_disturbed{false};
     /// All leftover tasks are paused, as a service misses its target for too long or may do so.
@@ -520,8 +522,9 @@
     /// When `learned_disturbance` was last added to a commit.
     instant disturbance_stored_at;
     bool register_known{false};
-    /// Recovery after a takeover ends when all runners have answered, at this time at the latest.
-    /// Until then tasks of recovered jobs do not start unless they are reconciled.
+    /// Recovery after a takeover ends when all runners have answered, at this time at the latest,
+    /// but not before those that answer have listed all their ends. Until then tasks of recovered
+    /// jobs do not start unless they are reconciled.
     instant recovery_ends_by;
     bool recovering{false};
     /// Occurrences that are not due yet: due time on the wall clock, job, and index of the
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -152,8 +152,9 @@
 enum class loss_evidence : std::uint8_t { other_incarnation, leases_expired };
 /// Marks all runs on a runner as lost.
 void mark_all_runs_lost(const context& c, runner_record& r, loss_evidence evidence);
-/// Marks runs as lost if a restarted runner does not report them. A run whose start was confirmed
-/// after the hold was sent is stopped instead, as the report may predate it.
+/// Marks runs as lost if a restarted runner does not report them. A run is stopped instead if its
+/// start was confirmed after the hold was sent, as the report may predate it, or if the report may
+/// lack its end.
 void drop_unreported_runs(const context& c, runner_record& r, const runner_hold_ended& report);
 
 // ---- stops.cpp: orders to stop runs
@@ -180,8 +181,7 @@
 
 // ---- run_reports.cpp: processing of runner reports
 void process_reported_end(const context& c, runner_record& r, const reported_end& e);
-void process_reported_runs(const context& c, runner_record& r,
-                           const std::vector<reported_run>& reported);
+void process_reported_runs(const context& c, runner_record& r, const runner_hold_ended& report);
 
 // ---- placement.cpp
 /// Starts ready tasks on feasible runners, most urgent steps first.
--- a/src/central/run_reports.cpp
+++ b/src/central/run_reports.cpp
@@ -220,15 +220,17 @@
     r.last_processed_end_change = std::max(r.last_processed_end_change, job.last_change);
 }
 
-void process_reported_runs(const context& c, runner_record& r,
-                           const std::vector<reported_run>& reported)
+void process_reported_runs(const context& c, runner_record& r, const runner_hold_ended& report)
 {
     std::set<graph_task_id> listed;
-    for (const reported_run& each : reported) {
+    for (const reported_run& each : report.running) {
         listed.insert(each.task);
         process_reported_run(c, r, each);
     }
-    handle_missing_runs(c, r, listed);
+    // Otherwise a run that the report does not list may have ended; its end follows.
+    if (!report.has_more_ends) {
+        handle_missing_runs(c, r, listed);
+    }
 }
 
 } // namespace cuminmoor::central
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -76,6 +76,7 @@
     r.report_clock.reset();
     r.is_disturbed = false;
     r.is_paused = false;
+    r.has_listed_all_ends = false;
     r.leases_expire_by = c.now + longest_lease(c.s);
 }
 
@@ -143,7 +144,8 @@
             r.last_processed_end = end.number;
         }
     }
-    process_reported_runs(c, r, e.running);
+    r.has_listed_all_ends = r.has_listed_all_ends || !e.has_more_ends;
+    process_reported_runs(c, r, e);
     learn_disturbance(c, r);
     update_expected_disturbance(c, r);
     const instant shown_at = report_shown_at(c, r, e.clock);
@@ -209,6 +211,12 @@
     if (!s.recovering) {
         return;
     }
+    const auto has_unlisted_ends = [](const auto& r) {
+        return r.second.is_responsive && !r.second.has_listed_all_ends;
+    };
+    if (std::any_of(s.runners.begin(), s.runners.end(), has_unlisted_ends)) {
+        return;
+    }
     const bool all_answered =
         s.register_known && std::all_of(s.runners.begin(), s.runners.end(),
                                         [](const auto& r) { return r.second.is_responsive; });
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -244,7 +244,8 @@
         }
         run& each = *ref.task->current_run;
         const bool is_newer_than_report = each.start_confirmed_at_hold >= r.holds_sent;
-        if (is_newer_than_report && !each.start_in_flight) {
+        const bool may_have_started = is_newer_than_report || report.has_more_ends;
+        if (may_have_started && !each.start_in_flight) {
             stop_run(c, id, each);
         }
         else {
--- a/tests/central/fake_runner.cpp
+++ b/tests/central/fake_runner.cpp
@@ -107,7 +107,10 @@
     for (const auto& [task, r] : running) {
         answer.running.push_back({task, r.number, "", 100, load_of ? load_of(task) : 0});
     }
-    answer.ended = unacknowledged_ends_;
+    const std::size_t listed = std::min(unacknowledged_ends_.size(), max_listed_ends);
+    answer.ended.assign(unacknowledged_ends_.begin(),
+                        unacknowledged_ends_.begin() + static_cast<std::ptrdiff_t>(listed));
+    answer.has_more_ends = listed == max_listed_ends;
     return answer;
 }
 
--- a/tests/central/fake_runner.h
+++ b/tests/central/fake_runner.h
@@ -54,6 +54,8 @@
     runner_entry entry;
     instant started_at;
     bool is_up{true};
+    /// Maximum number of ends in a report.
+    std::size_t max_listed_ends{500};
     /// Number of further stop orders that it answers but does not execute.
     std::uint32_t ignored_stops{0};
     std::map<graph_task_id, active_run> running;
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -252,6 +252,22 @@
     cr_assert_eq(answer->ended[1].checkpoint, "saved");
 }
 
+/// Guards against taking the first 500 ends for all of them (review/2).
+Test(platform_wire_hold_responses, a_full_list_of_ends_may_go_on)
+{
+    const auto has_more_ends = [](std::size_t ends) {
+        std::string list;
+        for (std::size_t n{1}; n <= ends; ++n) {
+            list += (n == 1 ? "[" : ",[") + std::to_string(n) + R"j(,"a.0.0.0",1,"done",""])j";
+        }
+        const auto answer = platform::parse_hold_response(
+            R"j({"clock_ms":1,"running":[],"finished":[)j" + list + "]}");
+        return answer.ok() && answer->ended.size() == ends && answer->has_more_ends;
+    };
+    cr_assert_not(has_more_ends(499));
+    cr_assert(has_more_ends(500));
+}
+
 Test(platform_wire_hold_responses, unknown_fields_are_ignored)
 {
     const auto answer = platform::parse_hold_response(
