--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -65,8 +65,19 @@
 inline constexpr millis commit_retry{100};
 /// New jobs that wait for a commit are refused once commits have failed for this long.
 inline constexpr millis max_commit_failure_time{500};
-/// A job takes two rows; the store allows 100 entries per transaction.
+/// A job usually takes two rows; the store allows 100 entries per transaction.
 inline constexpr std::size_t max_jobs_per_commit{45};
+inline constexpr std::size_t max_rows_per_commit{95};
+/// The store allows 1 MB per transaction.
+inline constexpr std::size_t max_commit_bytes{950'000};
+/// Bytes that a row adds to a transaction beside its key and value.
+inline constexpr std::size_t row_overhead_bytes{128};
+/// The store's limit on the value of a row. Longer values are split.
+inline constexpr std::size_t max_row_bytes{65'536};
+/// A job is refused if its specification, or the progress of one occurrence when it starts, takes
+/// more bytes; further occurrences wait. Below `max_commit_bytes`, as values are sent in base64 and
+/// progress grows by checkpoints and failures.
+inline constexpr std::size_t max_job_bytes{250'000};
 /// Ended jobs are kept this much longer than the configured retention.
 inline constexpr millis ended_job_grace{30'000};
 inline constexpr millis cleanup_period{1'000};
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -179,10 +179,16 @@
     queue queue_settings;
     std::vector<occurrence_record> occurrences;
     std::uint32_t unfinished_occurrences{0};
+    /// Most occurrences that may be unfinished at a time after their start, see
+    /// `config::max_job_bytes`.
+    std::uint32_t max_open_occurrences{1};
     job_state state{job_state::queued};
     /// The state that callers see. An end of the job is published only after the store has it.
     job_state published_state{job_state::queued};
     stored_part stored{stored_part::nothing};
+    /// Numbers of rows that its specification and its progress take in the store.
+    std::size_t spec_rows{0};
+    std::size_t progress_rows{0};
     /// True while the job is in `commit_state::changed_jobs`.
     bool dirty{false};
     /// Number of the job's newest change; see `commit_state::stored_change`.
@@ -446,11 +452,21 @@
     std::map<vm_id, instant> last_contact_at;
 };
 
+/// A job in a commit, as it is once the commit is stored.
+struct committed_job {
+    job_id job;
+    job_state state{job_state::queued};
+    /// As in `job_record`.
+    std::size_t spec_rows{0};
+    std::size_t progress_rows{0};
+};
+
 /// A commit whose outcome is not known yet.
 struct open_commit {
     rows_commit body;
-    /// Jobs in the commit, each with the state that is stored.
-    std::vector<std::pair<job_id, job_state>> jobs;
+    /// Size of its changes as they are sent.
+    std::size_t bytes{0};
+    std::vector<committed_job> jobs;
     std::vector<job_id> removed_jobs;
     std::vector<runner_id> runners;
     std::vector<runner_id> removed_runners;
@@ -473,8 +489,10 @@
     /// All changes up to this number are in the store.
     std::uint64_t stored_change{0};
     /// Changed jobs, each with the number of its first change that is in no commit yet; oldest
-    /// first.
+    /// first, but for jobs whose commit was invalid.
     std::deque<std::pair<job_id, std::uint64_t>> changed_jobs;
+    /// Most jobs in the next commit; lowered while commits are invalid.
+    std::size_t max_jobs{config::max_jobs_per_commit};
     instant sent_at;
     /// Removed jobs whose rows must be deleted.
     std::vector<job_id> jobs_to_remove;
--- a/include/cuminmoor/store.h
+++ b/include/cuminmoor/store.h
@@ -47,6 +47,9 @@
     conflict,
     /// Certainly not applied: this process never sent it, or the store rejected it.
     unavailable,
+    /// Certainly not applied, and the store will reject it again, for example because it is too
+    /// large. Only under central scheduling.
+    invalid,
     /// May have been applied already, may still be applied, or may never be.
     unknown,
 };
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -2,6 +2,7 @@
 /// Serialization with cereal. The order and types of the fields are the format.
 #include "codec.h"
 
+#include <algorithm>
 #include <exception>
 #include <sstream>
 
@@ -277,6 +278,21 @@
     return crashes;
 }
 
+/// Leaves out the tasks of finished steps and the steps of finished occurrences.
+void drop_finished_tasks(std::vector<occurrence_record>& occurrences)
+{
+    for (occurrence_record& o : occurrences) {
+        if (o.is_started && o.unfinished_steps == 0) {
+            o.steps.clear();
+        }
+        for (step_record& step : o.steps) {
+            if (step.unfinished == 0) {
+                step.tasks.clear();
+            }
+        }
+    }
+}
+
 /// \return the task that the counts belong to, or null.
 task_record* find_crashed_task(stored_progress& progress, const stored_crashes& c)
 {
@@ -389,7 +405,32 @@
         progress.occurrences = job.occurrences;
         progress.crashes = crashes_of(job.occurrences);
     }
-    return encode(progress);
+    std::string text = encode(progress);
+    // Only then, as processes of earlier versions do not know that a finished step has no tasks.
+    if (text.size() > config::max_row_bytes) {
+        drop_finished_tasks(progress.occurrences);
+        text = encode(progress);
+    }
+    return text;
+}
+
+std::uint32_t max_open_occurrences(const stored_job& job)
+{
+    // Bytes of an encoded occurrence, step and task without checkpoint, failures and crashes.
+    constexpr std::size_t occurrence_bytes{17};
+    constexpr std::size_t step_bytes{8};
+    constexpr std::size_t task_bytes{21};
+    std::size_t steps_bytes{0};
+    for (const graph_step& step : job.spec.steps) {
+        steps_bytes += step_bytes + step.tasks * task_bytes;
+    }
+    const std::size_t occurrences = std::max(job.spec.repeats.count, 1U);
+    const std::size_t least_bytes = occurrences * occurrence_bytes;
+    if (encode_job(job).size() > config::max_job_bytes || least_bytes > config::max_job_bytes) {
+        return 0;
+    }
+    const std::size_t most = (config::max_job_bytes - least_bytes) / steps_bytes;
+    return static_cast<std::uint32_t>(std::min(most, occurrences));
 }
 
 absl::StatusOr<stored_progress> decode_progress(const std::string& text)
--- a/src/central/codec.h
+++ b/src/central/codec.h
@@ -34,7 +34,8 @@
     crash_counts counts;
 };
 
-/// Row of the progress table.
+/// Row of the progress table. The tasks of finished steps and the steps of finished occurrences are
+/// left out if it would be longer than a row otherwise.
 struct stored_progress {
     job_state state{job_state::queued};
     /// Empty once the job has ended.
@@ -58,5 +59,8 @@
 absl::StatusOr<disturbance_model> decode_disturbance(const std::string& text);
 std::string encode_progress(const job_record& job);
 absl::StatusOr<stored_progress> decode_progress(const std::string& text);
+/// \return how many occurrences of the job may be unfinished at a time so that the store can hold
+/// its progress; 0 if it cannot hold the job at all.
+std::uint32_t max_open_occurrences(const stored_job& job);
 
 } // namespace cuminmoor::central
--- a/src/central/commits.cpp
+++ b/src/central/commits.cpp
@@ -9,6 +9,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "codec.h"
+#include "row_parts.h"
 
 namespace cuminmoor::central {
 
@@ -17,39 +18,90 @@
 const table_key head_key{table::head, "newest"};
 const table_key disturbance_key{table::disturbance, "learned"};
 
-void add_job(const context& c, open_commit& commit, job_record& job)
+/// \return the size of a change in the body of a transaction.
+std::size_t sent_bytes(const row_change& change)
 {
-    const std::string& id = job.spec.id.value;
-    auto& changes = commit.body.changes;
+    constexpr std::size_t decoded_group{3};
+    constexpr std::size_t encoded_group{4};
+    const std::size_t value = change.value ? change.value->size() : 0;
+    const std::size_t encoded = (value + decoded_group - 1) / decoded_group * encoded_group;
+    return config::row_overhead_bytes + change.row.key.size() + encoded;
+}
+
+/// Adds changes to a commit if the store's limits allow that.
+/// \return false if they do not, and nothing was added.
+bool add_changes(open_commit& commit, const std::vector<row_change>& changes)
+{
+    std::size_t bytes = commit.bytes;
+    for (const row_change& each : changes) {
+        bytes += sent_bytes(each);
+    }
+    auto& rows = commit.body.changes;
+    // The head row alone: what exceeds the limits by itself must be tried by itself.
+    const bool is_first = rows.size() == 1;
+    const bool fits = rows.size() + changes.size() <= config::max_rows_per_commit &&
+                      bytes <= config::max_commit_bytes;
+    if (!is_first && !fits) {
+        return false;
+    }
+    rows.insert(rows.end(), changes.begin(), changes.end());
+    commit.bytes = bytes;
+    return true;
+}
+
+/// Adds a changed job to a commit.
+/// \return false if the commit has no room for it.
+bool add_job(const context& c, open_commit& commit, job_record& job)
+{
+    const table_key spec_key{table::jobs, job.spec.id.value};
+    const table_key progress_key{table::progress, job.spec.id.value};
+    committed_job added{job.spec.id, job.state, job.spec_rows, job.progress_rows};
+    std::vector<row_change> changes;
     if (job.stored == stored_part::nothing && !job.has_ended()) {
         const millis submitted_at = c.wall_time - (c.now - job.submitted_at);
-        changes.push_back(
-            {{table::jobs, id}, encode_job({job.spec, job.queue_settings, submitted_at})});
+        const std::string spec = encode_job({job.spec, job.queue_settings, submitted_at});
+        append_parts(changes, spec_key, spec, job.spec_rows);
+        added.spec_rows = part_count(spec);
     }
     else {
-        changes.push_back({{table::progress, id}, encode_progress(job)});
+        const std::string progress = encode_progress(job);
+        append_parts(changes, progress_key, progress, job.progress_rows);
+        added.progress_rows = part_count(progress);
     }
     if (job.has_ended() && job.stored != stored_part::nothing) {
-        changes.push_back({{table::jobs, id}, std::nullopt});
+        append_removal(changes, spec_key, job.spec_rows);
+        added.spec_rows = 0;
+    }
+    if (!add_changes(commit, changes)) {
+        return false;
     }
     job.dirty = false;
-    commit.jobs.emplace_back(job.spec.id, job.state);
+    commit.jobs.push_back(std::move(added));
+    return true;
+}
+
+/// \return the number of the newest change up to which all changes are in commits.
+std::uint64_t last_covered_change(const commit_state& commits)
+{
+    std::uint64_t covered = commits.last_change;
+    for (const auto& [id, first_change] : commits.changed_jobs) {
+        covered = std::min(covered, first_change - 1);
+    }
+    return covered;
 }
 
 void add_jobs(const context& c, open_commit& commit)
 {
     scheduler_state& s = c.s.scheduler;
-    while (!s.commits.changed_jobs.empty() && commit.jobs.size() < config::max_jobs_per_commit) {
-        const job_id id = s.commits.changed_jobs.front().first;
-        s.commits.changed_jobs.pop_front();
-        const auto found = s.jobs.find(id);
-        if (found != s.jobs.end()) {
-            add_job(c, commit, found->second);
+    auto& changed_jobs = s.commits.changed_jobs;
+    while (!changed_jobs.empty() && commit.jobs.size() < s.commits.max_jobs) {
+        const auto found = s.jobs.find(changed_jobs.front().first);
+        if (found != s.jobs.end() && !add_job(c, commit, found->second)) {
+            break;
         }
+        changed_jobs.pop_front();
     }
-    const auto& changed_jobs = s.commits.changed_jobs;
-    commit.last_covered_change =
-        changed_jobs.empty() ? s.commits.last_change : changed_jobs.front().second - 1;
+    commit.last_covered_change = last_covered_change(s.commits);
 }
 
 void add_removals(const context& c, open_commit& commit)
@@ -57,37 +109,45 @@
     auto& jobs_to_remove = c.s.scheduler.commits.jobs_to_remove;
     while (!jobs_to_remove.empty() &&
            commit.jobs.size() + commit.removed_jobs.size() < config::max_jobs_per_commit) {
-        commit.body.changes.push_back(
-            {{table::progress, jobs_to_remove.back().value}, std::nullopt});
+        // The progress of an ended job takes one row.
+        const table_key key{table::progress, jobs_to_remove.back().value};
+        if (!add_changes(commit, {{key, std::nullopt}})) {
+            return;
+        }
         commit.removed_jobs.push_back(jobs_to_remove.back());
         jobs_to_remove.pop_back();
     }
 }
 
-/// Limit on changes in a transaction, below the store's limit of 100 entries.
-constexpr std::size_t max_changes{95};
-
-void add_runners(const context& c, open_commit& commit)
+void add_used_runners(const context& c, open_commit& commit)
 {
     scheduler_state& s = c.s.scheduler;
-    auto& changes = commit.body.changes;
-    while (!s.commits.runners_to_add.empty() && changes.size() < max_changes) {
+    while (!s.commits.runners_to_add.empty()) {
         const runner_id id = s.commits.runners_to_add.back();
-        s.commits.runners_to_add.pop_back();
         const auto found = s.runners.find(id);
         if (found != s.runners.end()) {
-            changes.push_back(
-                {{table::used_runners, id.value}, encode_runner(found->second.entry)});
+            const table_key key{table::used_runners, id.value};
+            if (!add_changes(commit, {{key, encode_runner(found->second.entry)}})) {
+                return;
+            }
             commit.runners.push_back(id);
         }
+        s.commits.runners_to_add.pop_back();
     }
-    while (!s.commits.runners_to_remove.empty() && changes.size() < max_changes) {
+}
+
+void remove_used_runners(const context& c, open_commit& commit)
+{
+    scheduler_state& s = c.s.scheduler;
+    while (!s.commits.runners_to_remove.empty()) {
         const runner_id id = s.commits.runners_to_remove.back();
-        s.commits.runners_to_remove.pop_back();
         if (!s.runners.contains(id)) {
-            changes.push_back({{table::used_runners, id.value}, std::nullopt});
+            if (!add_changes(commit, {{{table::used_runners, id.value}, std::nullopt}})) {
+                return;
+            }
             commit.removed_runners.push_back(id);
         }
+        s.commits.runners_to_remove.pop_back();
     }
 }
 
@@ -100,8 +160,11 @@
     if (!is_due || s.learned_disturbance.images.size() > config::max_stored_images) {
         return;
     }
-    s.disturbance_stored_at = c.now;
-    commit.body.changes.push_back({disturbance_key, encode_disturbance(s.learned_disturbance)});
+    std::string learned = encode_disturbance(s.learned_disturbance);
+    if (learned.size() <= config::max_row_bytes &&
+        add_changes(commit, {{disturbance_key, std::move(learned)}})) {
+        s.disturbance_stored_at = c.now;
+    }
 }
 
 void send_open_commit(const context& c)
@@ -137,7 +200,8 @@
     commit.body.changes.push_back({head_key, encode_head({c.s.lease.term, commit.body.number})});
     add_jobs(c, commit);
     add_removals(c, commit);
-    add_runners(c, commit);
+    add_used_runners(c, commit);
+    remove_used_runners(c, commit);
     add_disturbance(c, commit);
     commits.open = std::move(commit);
     send_open_commit(c);
@@ -176,10 +240,13 @@
     s.commits.head_version = version;
     s.commits.stored_change = commit.last_covered_change;
     s.commits.failing_since.reset();
-    for (const auto& [id, state] : commit.jobs) {
-        const auto found = s.jobs.find(id);
+    s.commits.max_jobs = std::min(s.commits.max_jobs * 2, config::max_jobs_per_commit);
+    for (const committed_job& each : commit.jobs) {
+        const auto found = s.jobs.find(each.job);
         if (found != s.jobs.end()) {
-            on_job_stored(c, found->second, state);
+            found->second.spec_rows = each.spec_rows;
+            found->second.progress_rows = each.progress_rows;
+            on_job_stored(c, found->second, each.state);
         }
     }
     for (const runner_id& id : commit.runners) {
@@ -193,28 +260,30 @@
     send_commit(c);
 }
 
+/// Answers the callers of a new job that is certainly not stored and will be dropped.
+void refuse_unstored_job(const context& c, const job_record& job)
+{
+    for (const call_handle handle : job.submitters) {
+        answer(c, handle, {.result = call_result::unavailable, .retry_after = config::retry_after});
+    }
+    for (const call_handle handle : job.cancellers) {
+        answer(c, handle, {.result = call_result::unknown_job});
+    }
+    if (job.state == job_state::queued) {
+        --c.s.scheduler.pending[job.spec.queue];
+    }
+}
+
 /// Refuses and drops new jobs that are certainly not stored.
 void reject_unstored_jobs(const context& c)
 {
-    scheduler_state& s = c.s.scheduler;
-    for (auto it = s.jobs.begin(); it != s.jobs.end();) {
-        job_record& job = it->second;
-        if (job.stored != stored_part::nothing) {
-            ++it;
-            continue;
+    std::erase_if(c.s.scheduler.jobs, [&c](const auto& each) {
+        const bool is_unstored = each.second.stored == stored_part::nothing;
+        if (is_unstored) {
+            refuse_unstored_job(c, each.second);
         }
-        for (const call_handle handle : job.submitters) {
-            answer(c, handle,
-                   {.result = call_result::unavailable, .retry_after = config::retry_after});
-        }
-        for (const call_handle handle : job.cancellers) {
-            answer(c, handle, {.result = call_result::unknown_job});
-        }
-        if (job.state == job_state::queued) {
-            --s.pending[job.spec.queue];
-        }
-        it = s.jobs.erase(it);
-    }
+        return is_unstored;
+    });
 }
 
 /// Puts the changes of a commit that certainly did not take effect back at the front of the queue.
@@ -223,19 +292,18 @@
     scheduler_state& s = c.s.scheduler;
     const open_commit commit = *std::exchange(s.commits.open, std::nullopt);
     for (auto it = commit.jobs.rbegin(); it != commit.jobs.rend(); ++it) {
-        const auto found = s.jobs.find(it->first);
+        const auto found = s.jobs.find(it->job);
         if (found == s.jobs.end()) {
             continue;
         }
         if (found->second.dirty) {
             // The job changed again in the meantime. Its first change that is not stored is in this
             // commit, so the later entry is replaced.
-            std::erase_if(s.commits.changed_jobs, [&](const auto& changed_jobs) {
-                return changed_jobs.first == it->first;
-            });
+            std::erase_if(s.commits.changed_jobs,
+                          [&](const auto& changed) { return changed.first == it->job; });
         }
         found->second.dirty = true;
-        s.commits.changed_jobs.emplace_front(it->first, s.commits.stored_change + 1);
+        s.commits.changed_jobs.emplace_front(it->job, s.commits.stored_change + 1);
     }
     const auto put_back = [](auto& line, const auto& items) {
         line.insert(line.end(), items.begin(), items.end());
@@ -264,6 +332,48 @@
     }
 }
 
+/// Moves the first changed job, whose commit was invalid by itself, behind the others.
+/// \param may_still_apply an earlier attempt to send the commit may still take effect.
+void postpone_first_job(const context& c, bool may_still_apply)
+{
+    scheduler_state& s = c.s.scheduler;
+    auto& changed_jobs = s.commits.changed_jobs;
+    if (changed_jobs.empty()) {
+        return;
+    }
+    const auto postponed = changed_jobs.front();
+    changed_jobs.pop_front();
+    const auto found = s.jobs.find(postponed.first);
+    if (found == s.jobs.end()) {
+        return;
+    }
+    if (found->second.stored == stored_part::nothing && !may_still_apply) {
+        refuse_unstored_job(c, found->second);
+        s.jobs.erase(found);
+        return;
+    }
+    changed_jobs.push_back(postponed);
+}
+
+/// Handles a commit that the store would reject again: its jobs go into smaller ones.
+void on_commit_invalid(const context& c)
+{
+    commit_state& commits = c.s.scheduler.commits;
+    const std::size_t jobs = commits.open->jobs.size();
+    const bool may_still_apply = commits.open->may_still_apply;
+    c.log("commit_invalid", {{"number", absl::StrCat(commits.open->body.number)},
+                             {"jobs", absl::StrCat(jobs)},
+                             {"rows", absl::StrCat(commits.open->body.changes.size())},
+                             {"bytes", absl::StrCat(commits.open->bytes)}});
+    commits.max_jobs = std::max<std::size_t>(jobs / 2, 1);
+    commits.retry_at = c.now + config::commit_retry;
+    c.wake_by(commits.retry_at);
+    requeue_changes(c);
+    if (jobs == 1) {
+        postpone_first_job(c, may_still_apply);
+    }
+}
+
 void read_back_head(const context& c)
 {
     scheduler_state& s = c.s.scheduler;
@@ -328,6 +438,9 @@
     case store_outcome::unavailable:
         on_commit_refused(c);
         break;
+    case store_outcome::invalid:
+        on_commit_invalid(c);
+        break;
     case store_outcome::unknown:
         read_back_head(c);
         break;
--- a/src/central/jobs.cpp
+++ b/src/central/jobs.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "codec.h"
 
 namespace cuminmoor::central {
 
@@ -70,9 +71,16 @@
             mark_step_ready(c, job, occurrence, dependent, was_reconciled);
         }
     }
-    if (o.unfinished_steps == 0 && --job.unfinished_occurrences == 0) {
+    if (o.unfinished_steps > 0) {
+        return;
+    }
+    if (--job.unfinished_occurrences == 0) {
         end_job(c, job, job_state::completed, "all tasks are done");
     }
+    else {
+        // One may have waited until fewer are open.
+        start_due_occurrences(c, job);
+    }
 }
 
 /// Copies the current settings of the job's queue to the job; if the queue was removed, the job
@@ -104,6 +112,10 @@
         return;
     }
     job_record job = make_job(*call.submitted, *q, c.now);
+    if (job.max_open_occurrences == 0) {
+        answer(c, handle, {.result = call_result::malformed});
+        return;
+    }
     job.submitters.push_back(handle);
     auto& added = s.jobs.emplace(call.job, std::move(job)).first->second;
     ++s.pending[added.spec.queue];
@@ -176,6 +188,15 @@
     pending -= pending > 0 ? 1 : 0;
 }
 
+std::uint32_t count_open_occurrences(const job_record& job)
+{
+    const auto is_open = [](const occurrence_record& o) {
+        return o.is_started && o.unfinished_steps > 0;
+    };
+    return static_cast<std::uint32_t>(
+        std::count_if(job.occurrences.begin(), job.occurrences.end(), is_open));
+}
+
 void stop_all_runs(const context& c, job_record& job)
 {
     for (std::uint32_t k{0}; k < job.occurrences.size(); ++k) {
@@ -243,6 +264,7 @@
     const std::uint32_t count = std::max(spec.repeats.count, 1U);
     job.occurrences.resize(count);
     job.unfinished_occurrences = count;
+    job.max_open_occurrences = max_open_occurrences({spec, queue_settings, {}});
     for (std::uint32_t k{0}; k < count; ++k) {
         job.occurrences[k].due = spec.repeats.first_at + spec.repeats.interval * k;
     }
@@ -267,6 +289,7 @@
 {
     refresh_queue_settings(c, job);
     assign_image_numbers(c, job);
+    std::uint32_t open = count_open_occurrences(job);
     for (std::uint32_t k{0}; k < job.occurrences.size(); ++k) {
         occurrence_record& o = job.occurrences[k];
         if (o.is_started) {
@@ -276,6 +299,11 @@
             c.s.scheduler.future_occurrences.emplace(o.due.count, job.spec.id, k);
             continue;
         }
+        if (open >= job.max_open_occurrences) {
+            // Started when an open one is finished.
+            continue;
+        }
+        ++open;
         init_occurrence(job, k);
         job.idle_since = c.now;
         for (std::uint32_t step{0}; step < o.steps.size(); ++step) {
--- a/src/central/loading.cpp
+++ b/src/central/loading.cpp
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "codec.h"
+#include "row_parts.h"
 
 namespace cuminmoor::central {
 
@@ -52,6 +53,13 @@
     c.add(rows_read{*next, scan.next_key, l.page.rows(), config::page_timeout});
 }
 
+void mark_done(step_record& step)
+{
+    for (task_record& task : step.tasks) {
+        task.status = task_status::done;
+    }
+}
+
 /// Copies stored progress into the job's record.
 void apply_progress(job_record& job, stored_progress progress)
 {
@@ -64,12 +72,19 @@
     const std::size_t known = std::min(progress.occurrences.size(), job.occurrences.size());
     for (std::uint32_t k{0}; k < known; ++k) {
         const occurrence_record& stored = progress.occurrences[k];
-        if (!stored.is_started || stored.steps.size() != job.spec.steps.size()) {
+        const bool is_readable =
+            stored.steps.empty() || stored.steps.size() == job.spec.steps.size();
+        if (!stored.is_started || !is_readable) {
             continue;
         }
         init_occurrence(job, k);
         occurrence_record& o = job.occurrences[k];
         for (std::size_t step{0}; step < o.steps.size(); ++step) {
+            const bool is_finished = stored.steps.empty() || stored.steps[step].tasks.empty();
+            if (is_finished) {
+                mark_done(o.steps[step]);
+                continue;
+            }
             const auto& tasks = stored.steps[step].tasks;
             const std::size_t count = std::min(tasks.size(), o.steps[step].tasks.size());
             std::copy_n(tasks.begin(), count, o.steps[step].tasks.begin());
@@ -107,6 +122,8 @@
     job_record job = make_job(stored.spec, stored.queue_settings, c.now - age);
     job.stored = stored_part::job;
     job.recovered = true;
+    // A process of an earlier version may have accepted it.
+    job.max_open_occurrences = std::max(job.max_open_occurrences, 1U);
     return job;
 }
 
@@ -122,9 +139,9 @@
     return job;
 }
 
-void restore_progress(const context& c, const std::string& id, const std::string& value)
+void restore_progress(const context& c, const std::string& id, const joined_value& stored)
 {
-    auto progress = decode_progress(value);
+    auto progress = decode_progress(stored.value);
     if (!progress.ok()) {
         c.log("progress_unreadable",
               {{"job", id}, {"reason", std::string{progress.status().message()}}});
@@ -133,9 +150,12 @@
     auto& jobs = c.s.scheduler.jobs;
     const auto found = jobs.find(job_id{id});
     if (found == jobs.end()) {
-        jobs.emplace(job_id{id}, restore_ended_job(c, id, progress->state));
+        job_record& ended =
+            jobs.emplace(job_id{id}, restore_ended_job(c, id, progress->state)).first->second;
+        ended.progress_rows = stored.parts;
         return;
     }
+    found->second.progress_rows = stored.parts;
     found->second.stored = stored_part::job_and_progress;
     found->second.ended_at = c.now;
     apply_progress(found->second, *std::move(progress));
@@ -183,18 +203,19 @@
 void restore_jobs(const context& c)
 {
     scheduler_state& s = c.s.scheduler;
-    for (const auto& [id, value] : s.loading.jobs.rows) {
-        auto stored = decode_stored_job(value);
+    for (const auto& [id, row] : join_parts(s.loading.jobs.rows)) {
+        auto stored = decode_stored_job(row.value);
         if (stored.ok()) {
-            s.jobs.emplace(job_id{id}, restore_job(c, *stored));
+            job_record& job = s.jobs.emplace(job_id{id}, restore_job(c, *stored)).first->second;
+            job.spec_rows = row.parts;
         }
         else {
             c.log("job_unreadable",
                   {{"job", id}, {"reason", std::string{stored.status().message()}}});
         }
     }
-    for (const auto& [id, value] : s.loading.progress.rows) {
-        restore_progress(c, id, value);
+    for (const auto& [id, row] : join_parts(s.loading.progress.rows)) {
+        restore_progress(c, id, row);
     }
     for (const auto& [id, value] : s.loading.used_runners.rows) {
         restore_runner(c, id, value);
--- a/src/claims.cpp
+++ b/src/claims.cpp
@@ -118,6 +118,7 @@
         settling ? continue_settlement(c, r) : read_claim(c, r);
         break;
     case store_outcome::unavailable:
+    case store_outcome::invalid:
         if (settling && !claim.write_unknown) {
             finish_settlement(c, r);
         }
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -33,6 +33,8 @@
     double lost_commits{0};
     /// Share of transactions that are refused and not executed.
     double refused_commits{0};
+    /// Jobs of which the store rejects every row, for good.
+    std::set<std::string> invalid_jobs;
     /// Share of transactions that are executed after their timeout and not answered.
     double late_commits{0};
     /// Transfer time of a table page to a VM.
@@ -253,6 +255,8 @@
     /// Crashes the runner soon if the task does that.
     void schedule_crash(const graph_task_id& task, std::size_t runner);
     void check_acknowledged(const reported_end& e);
+    /// \return true if the store accepts the transaction's size and its rows.
+    [[nodiscard]] bool is_valid(const rows_commit& e) const;
     [[nodiscard]] bool is_stored_as_done(const graph_task_id& id) const;
     void record_violation(const std::string& text);
 
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -95,3 +96,55 @@
     f.run_until_tables(2);
     cr_assert_eq(f.tables[1], std::vector<std::string>{"b"});
 }
+
+namespace {
+
+struct commit_sink final : io::central_event_sink {
+    void post(central::event e) override
+    {
+        if (const auto* const committed = std::get_if<central::rows_committed>(&e)) {
+            outcome = committed->outcome;
+        }
+    }
+    central::call_handle next_handle() override { return {1}; }
+    [[nodiscard]] bool is_ready() const override { return true; }
+    [[nodiscard]] bool is_stopping() const override { return false; }
+
+    std::optional<store_outcome> outcome;
+};
+
+/// \return the outcome of a transaction that the store answers with this status.
+store_outcome outcome_of_status(const std::string& status)
+{
+    raw_http_server server{{{"HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\n{}", false}}};
+    io::system_clock clock;
+    io::settings s;
+    s.platform = server.address();
+    io::line_log log{clock, "vm", "fd"};
+    commit_sink sink;
+    asio::io_context context{1};
+    const auto client = io::make_asio_http_client(context, clock, 4);
+    platform::store_client store{
+        io::deployment_dependencies{context, clock, *client, sink, log, s}};
+    store.execute(central::rows_commit{});
+    const instant give_up = clock.now() + millis{2'000};
+    while (!sink.outcome && clock.now() < give_up) {
+        context.restart();
+        context.run_for(std::chrono::milliseconds{10});
+    }
+    cr_assert(sink.outcome.has_value());
+    return *sink.outcome;
+}
+
+} // namespace
+
+/// Guards against sending a transaction that the store refuses for good again for ever (review/3).
+Test(platform_store, a_transaction_that_is_refused_for_good_is_invalid)
+{
+    cr_assert(outcome_of_status("400 Bad Request") == store_outcome::invalid);
+    cr_assert(outcome_of_status("413 Payload Too Large") == store_outcome::invalid);
+    cr_assert(outcome_of_status("412 Precondition Failed") == store_outcome::conflict);
+    cr_assert(outcome_of_status("429 Too Many Requests") == store_outcome::unavailable);
+    cr_assert(outcome_of_status("503 Service Unavailable") == store_outcome::unavailable);
+    cr_assert(outcome_of_status("500 Internal Server Error") == store_outcome::unknown);
+}
