Recovery: a released lease hands over what its successor cannot ask (LOST)

Cause: each new holder of the lease waits for every used runner, or for the longest lease from its takeover on, before it starts what an earlier term may have started. Runners that have left never answer, and each planned stop of the holder begins that wait anew.

Change: the released lease row names the runners that may not answer a successor, the time until their leases end, and the tasks that can run there; a holder that is stopped before it has loaded passes it on. Services that cannot run on runners without a report start during recovery. Others, and tasks that may have crashed a runner, wait as before. Only used runners are waited for.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -285,6 +285,19 @@
     bool operator==(const runner_offer&) const = default;
 };
 
+/// A runner whose runs the next holder of the lease may not learn from its reports.
+struct unreported_runner {
+    runner_id runner;
+    /// Time until all leases on it have expired.
+    millis leases_end_within;
+    /// Tasks that may run there; not set: any.
+    std::optional<std::vector<graph_task_id>> tasks;
+    /// Tasks for which it counts if the runner has crashed, and whether it is attributed to them;
+    /// see crashes.cpp.
+    std::vector<graph_task_id> suspects;
+    bool is_attributed{false};
+};
+
 struct runner_record {
     runner_entry entry;
     /// False once the runner registry no longer lists it.
@@ -295,8 +308,13 @@
     bool is_responsive{false};
     /// It has answered a hold of this term, so it rejects orders of earlier terms.
     bool is_fenced{false};
-    /// A report of this term has listed all its ends, so all that it ran in earlier terms is known.
-    bool has_listed_all_ends{false};
+    /// It may have runs of earlier terms that are not known here: no report of this term has listed
+    /// all its runs and ends, and their leases may be valid.
+    bool may_run_unreported{false};
+    /// What the holder before handed over about it; of use while `may_run_unreported`.
+    std::optional<unreported_runner> handed_over;
+    /// The next holder of the lease was told what may run there, so nothing is added to that.
+    bool is_handed_over{false};
     /// A service there missed its target in the last report, or nearly so.
     bool is_disturbed{false};
     /// All leftover tasks are paused, as a service misses its target for too long or may do so.
@@ -394,6 +412,14 @@
 
 // ---- Store ---------------------------------------------------------------------------------
 
+/// What a holder that releases its lease knows of the leases that it and earlier holders granted.
+struct handover {
+    /// Runners that did not answer it, or are about to leave.
+    std::vector<unreported_runner> runners;
+    /// Time until the leases on all other runners have expired.
+    millis leases_end_within;
+};
+
 /// Row of the scheduler's lease.
 struct lease_row {
     std::string holder;
@@ -404,6 +430,8 @@
     bool released{false};
     /// The holder has completed its recovery: no run lease of an earlier holder is valid any more.
     bool recovered{false};
+    /// Only if `released`.
+    std::optional<handover> handed_over;
 };
 
 enum class role : std::uint8_t {
@@ -425,8 +453,14 @@
     /// When the row's current version was first seen. Moved forward when the store becomes
     /// reachable again, to give the holder time to renew.
     instant seen_at;
-    /// Latest time at which a previous holder may have extended run leases.
-    instant predecessor_active_until;
+    /// When the last row before this VM's claim was seen, and what it handed over. The times in it
+    /// count from then.
+    instant predecessor_seen_at;
+    handover predecessor;
+    /// When the leases of earlier holders have expired, whatever was handed over.
+    instant predecessor_leases_end;
+    /// The last row that was sent.
+    lease_row row_in_flight;
     /// When the last successful renewal was sent.
     instant renewed_at;
     instant renewal_sent_at;
@@ -527,6 +561,15 @@
     table_scan disturbance;
 };
 
+/// Tasks that may have runs of earlier terms that no runner has reported.
+struct unreported_runs {
+    bool any_task{true};
+    /// Empty if `any_task`.
+    std::set<graph_task_id> tasks;
+
+    bool operator==(const unreported_runs&) const = default;
+};
+
 /// State of the scheduler; empty unless this VM holds the lease.
 struct scheduler_state {
     std::unordered_map<job_id, job_record, id_hash> jobs;
@@ -540,11 +583,12 @@
     /// When `learned_disturbance` was last added to a commit.
     instant disturbance_stored_at;
     bool register_known{false};
-    /// Recovery after a takeover ends when all runners have answered, at this time at the latest,
-    /// but not before those that answer have listed all their ends. Until then tasks of recovered
-    /// jobs do not start unless they are reconciled.
-    instant recovery_ends_by;
+    /// Recovery after a takeover ends when all runners have answered, at the end of the
+    /// predecessors' leases at the latest, but not before those that answer have listed all their
+    /// ends. Until then tasks of recovered jobs do not start unless they are reconciled, but for
+    /// services that cannot run unreported.
     bool recovering{false};
+    unreported_runs unreported;
     /// Occurrences that are not due yet: due time on the wall clock, job, and index of the
     /// occurrence.
     std::set<std::tuple<std::int64_t, job_id, std::uint32_t>> future_occurrences;
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -110,10 +110,40 @@
     archive(r.term, r.commit);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, graph_task_id& id)
+{
+    archive(id.job, id.occurrence, id.step, id.index);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, unreported_runner& r)
+{
+    archive(r.runner, r.leases_end_within, r.tasks, r.suspects, r.is_attributed);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, handover& h)
+{
+    archive(h.runners, h.leases_end_within);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, lease_row& r)
 {
-    archive(r.holder, r.address, r.incarnation, r.term, r.released, r.recovered);
+    archive(r.holder, r.address, r.incarnation, r.term, r.released, r.recovered, r.handed_over);
+}
+
+/// A lease row as it was written before `handed_over` was added.
+struct lease_row_without_handover {
+    lease_row row;
+};
+
+template <typename Archive>
+void serialize(Archive& archive, lease_row_without_handover& r)
+{
+    archive(r.row.holder, r.row.address, r.row.incarnation, r.row.term, r.row.released,
+            r.row.recovered);
 }
 
 /// A lease row as it was written before `recovered` was added.
@@ -329,11 +359,13 @@
     if (row.ok()) {
         return row;
     }
-    const auto earlier = decode<lease_row_without_recovered>(text, "lease");
-    if (!earlier.ok()) {
-        return row;
+    if (const auto earlier = decode<lease_row_without_handover>(text, "lease"); earlier.ok()) {
+        return earlier->row;
+    }
+    if (const auto earlier = decode<lease_row_without_recovered>(text, "lease"); earlier.ok()) {
+        return earlier->row;
     }
-    return earlier->row;
+    return row;
 }
 
 std::string encode_capacity(const vm_capacity& capacity)
--- a/src/central/crashes.cpp
+++ b/src/central/crashes.cpp
@@ -15,6 +15,7 @@
 #include "runs.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -188,6 +189,34 @@
     }
 }
 
+void add_suspects(const context& c, const runner_record& r, unreported_runner& u)
+{
+    const crash_blame blame = r.loss ? blame_for(c, *r.loss) : crash_blame::outside_cause;
+    u.is_attributed = blame == crash_blame::attributed;
+    if (u.is_attributed) {
+        u.suspects.push_back(*r.loss->culprit);
+    }
+    else if (blame == crash_blame::possible) {
+        u.suspects = crash_suspects(c, r);
+    }
+}
+
+void count_handed_over_crash(const context& c, runner_record& r)
+{
+    if (!r.may_run_unreported || !r.handed_over) {
+        return;
+    }
+    const auto blame =
+        r.handed_over->is_attributed ? crash_blame::attributed : crash_blame::possible;
+    for (const graph_task_id& id : std::exchange(r.handed_over->suspects, {})) {
+        if (const task_ref ref = find_task(c.s, id)) {
+            // The run is counted here.
+            ref.task->crashes.has_open_run = false;
+            count_for_suspect(c, r, id, blame);
+        }
+    }
+}
+
 bool begin_suspect_run(const context& c, const graph_task_id& id, task_ref ref)
 {
     crash_counts& counts = ref.task->crashes;
--- /dev/null
+++ b/src/central/handover.cpp
@@ -0,0 +1,169 @@
+/// \file
+/// Recovery after a takeover: which tasks may have runs of earlier terms that no runner has
+/// reported.
+///
+/// Only used runners have such runs. One that answers reports them. For one that does not, the
+/// holder before may have handed over which tasks can run there and when its leases end; otherwise
+/// any task may run there until all leases have expired.
+#include "handover.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+namespace cuminmoor::central {
+
+namespace {
+
+millis time_until(instant now, instant end)
+{
+    return std::max(millis{0}, end - now);
+}
+
+/// \return the handover of the holder before, with the times counted from now.
+handover predecessors_handover(const context& c)
+{
+    const millis passed = c.now - c.s.lease.predecessor_seen_at;
+    const auto left = [passed](millis time) { return std::max(millis{0}, time - passed); };
+    handover h = c.s.lease.predecessor;
+    h.leases_end_within = left(h.leases_end_within);
+    for (unreported_runner& each : h.runners) {
+        each.leases_end_within = left(each.leases_end_within);
+    }
+    return h;
+}
+
+std::vector<graph_task_id> tasks_on(const runner_record& r)
+{
+    std::vector<graph_task_id> tasks{r.runs.begin(), r.runs.end()};
+    for (const auto& [id, orphan] : r.orphans) {
+        tasks.push_back(id);
+    }
+    return tasks;
+}
+
+unreported_runner unreported_runner_of(const context& c, const runner_record& r)
+{
+    unreported_runner u;
+    if (!r.may_run_unreported) {
+        u.tasks = tasks_on(r);
+        add_suspects(c, r, u);
+    }
+    else if (r.handed_over) {
+        u = *r.handed_over;
+    }
+    u.runner = r.entry.id;
+    u.leases_end_within = time_until(c.now, r.leases_expire_by);
+    return u;
+}
+
+void mark_handed_over(const context& c, const unreported_runner& from)
+{
+    const auto found = c.s.scheduler.runners.find(from.runner);
+    if (found != c.s.scheduler.runners.end()) {
+        found->second.leases_expire_by = c.s.lease.predecessor_seen_at + from.leases_end_within;
+        found->second.handed_over = from;
+    }
+}
+
+unreported_runs find_unreported_runs(const scheduler_state& s)
+{
+    unreported_runs unreported;
+    unreported.any_task = !s.register_known;
+    for (const auto& [id, r] : s.runners) {
+        if (!r.may_run_unreported) {
+            continue;
+        }
+        if (!r.handed_over || !r.handed_over->tasks) {
+            return {};
+        }
+        unreported.tasks.insert(r.handed_over->tasks->begin(), r.handed_over->tasks->end());
+    }
+    if (unreported.any_task) {
+        return {};
+    }
+    return unreported;
+}
+
+} // namespace
+
+handover make_handover(const context& c)
+{
+    if (c.s.lease.current_role != role::scheduler) {
+        // This holder has granted no lease.
+        return predecessors_handover(c);
+    }
+    handover h;
+    h.leases_end_within = longest_lease(c.s);
+    for (auto& [id, r] : c.s.scheduler.runners) {
+        const bool will_answer = r.is_responsive && !r.entry.draining && !r.may_run_unreported;
+        if (!r.stored || will_answer) {
+            continue;
+        }
+        r.is_handed_over = true;
+        h.runners.push_back(unreported_runner_of(c, r));
+    }
+    return h;
+}
+
+void begin_recovery(const context& c)
+{
+    scheduler_state& s = c.s.scheduler;
+    const lease_state& l = c.s.lease;
+    s.recovering = true;
+    for (auto& [id, r] : s.runners) {
+        r.may_run_unreported = r.stored;
+        r.leases_expire_by = l.predecessor_seen_at + l.predecessor.leases_end_within;
+    }
+    for (const unreported_runner& each : l.predecessor.runners) {
+        mark_handed_over(c, each);
+    }
+}
+
+void end_recovery_if_complete(const context& c)
+{
+    scheduler_state& s = c.s.scheduler;
+    if (!s.recovering) {
+        return;
+    }
+    bool all_answered = s.register_known;
+    bool has_unlisted_ends{false};
+    for (auto& [id, r] : s.runners) {
+        const bool has_expired = !r.is_responsive && c.s.lease.renewed_at > r.leases_expire_by;
+        if (has_expired && !r.listed) {
+            count_handed_over_crash(c, r);
+        }
+        r.may_run_unreported = r.may_run_unreported && !has_expired;
+        has_unlisted_ends = has_unlisted_ends || (r.is_responsive && r.may_run_unreported);
+        all_answered = all_answered && r.is_responsive;
+    }
+    unreported_runs unreported = find_unreported_runs(s);
+    if (unreported != s.unreported) {
+        s.unreported = std::move(unreported);
+        s.placement_due = true;
+    }
+    const bool have_leases_ended = c.s.lease.renewed_at >= c.s.lease.predecessor_leases_end;
+    if (has_unlisted_ends || (!all_answered && !have_leases_ended)) {
+        return;
+    }
+    s.recovering = false;
+    s.placement_due = true;
+    c.log("recovery_ended", {{"runners", absl::StrCat(s.runners.size())},
+                             {"all_answered", all_answered ? "true" : "false"}});
+}
+
+bool may_run_unreported(const context& c, const graph_task_id& id, const task_ref& ref)
+{
+    const scheduler_state& s = c.s.scheduler;
+    if (!ref.job->recovered || !s.recovering || ref.task->is_reconciled) {
+        return false;
+    }
+    // A task that has just crashed a runner would crash one under each holder before any of them
+    // can tell. Services are missed soon, so they take that risk unless they are suspects.
+    if (!ref.step->is_service || ref.task->crashes.is_suspect) {
+        return true;
+    }
+    return s.unreported.any_task || s.unreported.tasks.contains(id);
+}
+
+} // namespace cuminmoor::central
--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "codec.h"
+#include "handover.h"
 #include "members.h"
 
 namespace cuminmoor::central {
@@ -31,17 +32,28 @@
            s.lease.row->incarnation != s.self.incarnation;
 }
 
-/// \return the latest time at which a previous holder may have extended run leases.
+/// \return the time from `seen_at` until all leases that earlier holders granted have expired.
 ///
-/// A holder stops once it has not renewed its lease for `max_time_without_renewal`. One that
-/// released its lease or whose process has ended extends none from then on, and if it had
-/// recovered, neither do those before it.
-instant predecessor_active_until(const central_state& s)
+/// A holder grants leases until it has not renewed its own for `max_time_without_renewal`. One that
+/// released it or whose process has ended grants none from then on, and if it had recovered, those
+/// of earlier holders have expired.
+millis time_until_leases_end(const central_state& s)
 {
     const lease_state& l = s.lease;
     const bool has_ended = is_held_by_previous_incarnation(s) || (l.row && l.row->released);
     const bool is_last_known = has_ended && l.row->recovered;
-    return is_last_known ? l.seen_at : l.seen_at + config::max_time_without_renewal;
+    const millis active_for = is_last_known ? millis{0} : config::max_time_without_renewal;
+    return active_for + longest_lease(s);
+}
+
+/// Keeps what the last row says about earlier holders: the feed may deliver this VM's own row,
+/// which changes `seen_at`, before its claim is answered.
+void remember_predecessor(lease_state& l, millis leases_end_within)
+{
+    l.predecessor_seen_at = l.seen_at;
+    l.predecessor_leases_end = l.seen_at + leases_end_within;
+    const bool has_handed_over = l.row && l.row->released && l.row->handed_over;
+    l.predecessor = has_handed_over ? *l.row->handed_over : handover{{}, leases_end_within};
 }
 
 /// \return the jittered delay of this VM's claim; VMs with insufficient capacity wait longer, so
@@ -83,7 +95,7 @@
 lease_row own_row(const central_state& s, term_number term, bool released)
 {
     const bool recovered = s.lease.current_role == role::scheduler && !s.scheduler.recovering;
-    return {s.self.vm.value, s.self.address, s.self.incarnation, term, released, recovered};
+    return {s.self.vm.value, s.self.address, s.self.incarnation, term, released, recovered, {}};
 }
 
 void send_lease(const context& c, rows_commit commit, bool released)
@@ -91,7 +103,14 @@
     lease_state& l = c.s.lease;
     commit.purpose = commit_purpose::lease;
     commit.preconditions.push_back({lease_key, l.version});
-    commit.changes.push_back({lease_key, encode_lease(own_row(c.s, l.term, released))});
+    l.row_in_flight = own_row(c.s, l.term, released);
+    if (released) {
+        l.row_in_flight.handed_over = make_handover(c);
+    }
+    if (encode_lease(l.row_in_flight).size() > config::max_row_bytes) {
+        l.row_in_flight.handed_over.reset();
+    }
+    commit.changes.push_back({lease_key, encode_lease(l.row_in_flight)});
     commit.number = ++l.last_commit;
     l.renewal_in_flight = true;
     l.release_in_flight = released;
@@ -115,7 +134,7 @@
         return;
     }
     l.version = e.version;
-    l.row = own_row(c.s, l.term, false);
+    l.row = l.row_in_flight;
     l.seen_at = c.now;
     l.renewed_at = l.renewal_sent_at;
     // `retry_at` was set to the timeout of the claim, which is as long as the lease and would delay
@@ -168,7 +187,7 @@
         l.seen_at = c.now;
         l.renewed_at = l.renewal_sent_at;
         if (l.release_in_flight) {
-            l.row = own_row(c.s, l.term, true);
+            l.row = l.row_in_flight;
             step_down(c, c.s.stopping ? "released for a shutdown" : "released to another VM");
         }
         else if (l.releasing) {
@@ -269,9 +288,7 @@
     const term_number known = l.row ? l.row->term : term_number{};
     l.term.value = std::max(known.value, newest.term.value) + 1;
     l.current_role = role::claiming;
-    // Saved now: the feed may deliver this VM's own row, which changes `seen_at`, before the claim
-    // is answered.
-    l.predecessor_active_until = predecessor_active_until(c.s);
+    remember_predecessor(l, time_until_leases_end(c.s));
     rows_commit claim;
     claim.preconditions.push_back({head_key, head_version});
     claim.changes.push_back({head_key, encode_head({l.term, 0})});
--- a/src/central/loading.cpp
+++ b/src/central/loading.cpp
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "codec.h"
+#include "handover.h"
 #include "row_parts.h"
 
 namespace cuminmoor::central {
@@ -194,12 +195,6 @@
     }
 }
 
-/// \return the latest time at which a run lease granted by an earlier holder can expire.
-instant previous_leases_end(const context& c)
-{
-    return c.s.lease.predecessor_active_until + longest_lease(c.s);
-}
-
 void restore_jobs(const context& c)
 {
     scheduler_state& s = c.s.scheduler;
@@ -256,11 +251,7 @@
         resume_job(c, job);
     }
     c.s.lease.current_role = role::scheduler;
-    s.recovering = true;
-    s.recovery_ends_by = previous_leases_end(c);
-    for (auto& [id, r] : s.runners) {
-        r.leases_expire_by = s.recovery_ends_by;
-    }
+    begin_recovery(c);
     s.placement_due = true;
     c.log("jobs_loaded",
           {{"term", absl::StrCat(c.s.lease.term.value)}, {"jobs", absl::StrCat(s.jobs.size())}});
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -171,6 +171,10 @@
 /// Counts the crash of a runner for the suspects whose runs were lost with it, and gives up tasks
 /// that certainly crash their runners. No effect if the runner was leaving.
 void count_crash(const context& c, runner_record& r, const std::vector<graph_task_id>& suspects);
+/// Adds the suspects of a runner's loss to what is handed over about it.
+void add_suspects(const context& c, const runner_record& r, unreported_runner& u);
+/// Counts a crash for the suspects that were handed over, if the runner has not reported since.
+void count_handed_over_crash(const context& c, runner_record& r);
 /// Records that a suspect is about to start; no effect on other tasks.
 /// \return false if its last run was lost with the holder of the lease, and the task is given up.
 bool begin_suspect_run(const context& c, const graph_task_id& id, task_ref ref);
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Rounds in which ready tasks are placed on runners: steps in order of urgency, and rejected steps
 /// only on runners that have changed.
-#include "parts.h"
+#include "handover.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -19,12 +19,6 @@
     return {std::max(task.last_run.value + 1, first_of_term)};
 }
 
-/// \return true if an unreported run of an earlier term may still execute on some runner.
-bool may_run_unreported(const context& c, const task_ref& ref, const task_record& task)
-{
-    return ref.job->recovered && c.s.scheduler.recovering && !task.is_reconciled;
-}
-
 /// One offer of all ready steps to the runners. A step that was rejected in the round before is
 /// only offered the runners that have changed since, as no other has become feasible.
 struct placement_round {
@@ -178,7 +172,7 @@
     // The job may have ended in this round, see `begin_suspect_run`.
     const bool is_startable =
         ref.task->status == task_status::ready && !ref.task->current_run && !ref.job->has_ended();
-    if (!is_startable || may_run_unreported(c, ref, *ref.task)) {
+    if (!is_startable || may_run_unreported(c, id, ref)) {
         return true;
     }
     runner_record* const r = select_for_task(round, id, ref, requirement);
@@ -231,13 +225,19 @@
     return chosen;
 }
 
-bool are_members_startable(const context& c, const task_ref& ref)
+bool are_members_startable(const context& c, const task_ref& ref, const graph_task_id& id)
 {
-    const auto& tasks = ref.progress->tasks;
-    return std::all_of(tasks.begin(), tasks.end(), [&](const task_record& task) {
-        return task.status == task_status::ready && !task.current_run &&
-               !may_run_unreported(c, ref, task);
-    });
+    for (std::uint32_t i{0}; i < ref.progress->tasks.size(); ++i) {
+        graph_task_id member_id = id;
+        member_id.index = i;
+        const task_ref member = find_task(c.s, member_id);
+        const bool is_startable =
+            member.task->status == task_status::ready && !member.task->current_run;
+        if (!is_startable || may_run_unreported(c, member_id, member)) {
+            return false;
+        }
+    }
+    return true;
 }
 
 /// \return an upper bound of the members that fit at the same time, from what is known of earlier
@@ -278,7 +278,7 @@
 {
     const context& c = round.c;
     const task_ref first = find_task(c.s, id);
-    if (!are_members_startable(c, first)) {
+    if (!are_members_startable(c, first, id)) {
         return;
     }
     const std::size_t members = first.progress->tasks.size();
--- a/src/central/runner_selector.cpp
+++ b/src/central/runner_selector.cpp
@@ -117,8 +117,8 @@
 bool is_schedulable(const context& c, const runner_record& r)
 {
     return r.is_responsive && r.listed && r.stored && !r.entry.draining && r.clock &&
-           r.orphans.empty() && c.now >= r.avoided_until && !r.probation_until &&
-           !c.s.operators.out_of_service.contains(r.entry.failure_domain);
+           !r.is_handed_over && r.orphans.empty() && c.now >= r.avoided_until &&
+           !r.probation_until && !c.s.operators.out_of_service.contains(r.entry.failure_domain);
 }
 
 std::vector<runner_record*> schedulable_runners(const context& c)
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Runners: registration, holds (long polls that renew leases and return reports), lease expiry and
 /// the end of recovery after a takeover.
-#include "parts.h"
+#include "handover.h"
 
 #include <algorithm>
 
@@ -49,7 +49,7 @@
     // After a failed hold, only ask for a report. Extending leases would postpone their computed
     // expiry although the runner may be gone, and a restarted runner numbers its ends from 1 again,
     // so an old acknowledgement would match new ends.
-    const bool may_extend = has_current_clock && may_send_orders(c);
+    const bool may_extend = has_current_clock && may_send_orders(c) && !r.is_handed_over;
     const auto until = may_extend ? grant_lease(c, r) : std::nullopt;
     const bool is_new_acknowledgement =
         has_current_clock && r.acknowledged > r.acknowledgement_delivered;
@@ -76,7 +76,6 @@
     r.report_clock.reset();
     r.is_disturbed = false;
     r.is_paused = false;
-    r.has_listed_all_ends = false;
     r.leases_expire_by = c.now + longest_lease(c.s);
 }
 
@@ -144,7 +143,7 @@
             r.last_processed_end = end.number;
         }
     }
-    r.has_listed_all_ends = r.has_listed_all_ends || !e.has_more_ends;
+    r.may_run_unreported = r.may_run_unreported && e.has_more_ends;
     process_reported_runs(c, r, e);
     learn_disturbance(c, r);
     update_expected_disturbance(c, r);
@@ -205,30 +204,6 @@
     }
 }
 
-void end_recovery_if_complete(const context& c)
-{
-    scheduler_state& s = c.s.scheduler;
-    if (!s.recovering) {
-        return;
-    }
-    const auto has_unlisted_ends = [](const auto& r) {
-        return r.second.is_responsive && !r.second.has_listed_all_ends;
-    };
-    if (std::any_of(s.runners.begin(), s.runners.end(), has_unlisted_ends)) {
-        return;
-    }
-    const bool all_answered =
-        s.register_known && std::all_of(s.runners.begin(), s.runners.end(),
-                                        [](const auto& r) { return r.second.is_responsive; });
-    if (!all_answered && c.s.lease.renewed_at < s.recovery_ends_by) {
-        return;
-    }
-    s.recovering = false;
-    s.placement_due = true;
-    c.log("recovery_ended", {{"runners", absl::StrCat(s.runners.size())},
-                             {"all_answered", all_answered ? "true" : "false"}});
-}
-
 /// \return true if the runner is unlisted, unresponsive and without runs: either it has reported
 /// its runs in this term and all of them ended, or all leases have expired.
 bool can_remove_runner(const runner_record& r, instant renewed_at)
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -222,7 +222,9 @@
     // A runner that is still registered may only be cut off.
     if (has_restarted || !r.listed) {
         count_crash(c, r, suspects);
+        count_handed_over_crash(c, r);
     }
+    r.may_run_unreported = false;
 }
 
 void drop_unreported_runs(const context& c, runner_record& r, const runner_hold_ended& report)
@@ -254,6 +256,7 @@
     }
     r.orphans.clear();
     count_crash(c, r, suspects);
+    count_handed_over_crash(c, r);
 }
 
 } // namespace cuminmoor::central
--- a/tests/test_central_codec.cpp
+++ b/tests/test_central_codec.cpp
@@ -149,18 +149,42 @@
     cr_assert_not(platform::parse_job(R"({"steps":)" + closed + "}").ok());
 }
 
-/// During a rolling upgrade VMs read lease rows of processes that do not write `recovered` yet.
+/// During a rolling upgrade VMs read lease rows of processes that do not write `recovered` or
+/// `handed_over` yet.
 Test(central_codec, lease_row_of_an_earlier_version_is_read)
 {
-    const lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, true};
+    const lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, true, {}};
     const std::string text = encode_lease(row);
-    const auto earlier = decode_lease(text.substr(0, text.size() - 1));
+    const auto without_handover = decode_lease(text.substr(0, text.size() - 1));
+    cr_assert(without_handover.ok());
+    cr_assert(without_handover->recovered);
+    cr_assert_not(without_handover->handed_over.has_value());
+    const auto earlier = decode_lease(text.substr(0, text.size() - 2));
     cr_assert(earlier.ok());
     cr_assert_eq(earlier->term.value, 3);
     cr_assert(earlier->released);
     cr_assert_not(earlier->recovered);
     cr_assert(decode_lease(text)->recovered);
-    cr_assert_not(decode_lease(text.substr(0, text.size() - 2)).ok());
+    cr_assert_not(decode_lease(text.substr(0, text.size() - 3)).ok());
+}
+
+Test(central_codec, lease_row_keeps_what_its_holder_handed_over)
+{
+    lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, false, {}};
+    const graph_task_id task{{"0123456789abcdef"}, 2, 1, 7};
+    row.handed_over = handover{
+        {{{"i-1"}, {4'000}, {{task}}, {task}, true}, {{"i-2"}, {100}, {}, {}, false}}, {6'220}};
+    const auto read = decode_lease(encode_lease(row));
+    cr_assert(read.ok() && read->handed_over.has_value());
+    cr_assert(read->handed_over->leases_end_within == millis{6'220});
+    const auto& runners = read->handed_over->runners;
+    cr_assert_eq(runners.size(), 2);
+    cr_assert(runners[0].runner == runner_id{"i-1"});
+    cr_assert(runners[0].leases_end_within == millis{4'000});
+    cr_assert(runners[0].tasks == std::vector<graph_task_id>{task});
+    cr_assert(runners[0].suspects == std::vector<graph_task_id>{task});
+    cr_assert(runners[0].is_attributed);
+    cr_assert_not(runners[1].tasks.has_value());
 }
 
 /// During a rolling upgrade VMs read answers of processes that do not write `held` yet.
--- /dev/null
+++ b/tests/test_central_handover.cpp
@@ -0,0 +1,149 @@
+/// \file
+/// Planned stops of the VM that schedules, in series, while runners leave or are lost.
+#include <algorithm>
+#include <cstdint>
+#include <random>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include "central/expectations.h"
+
+using namespace cuminmoor;
+using namespace cuminmoor::central;
+using namespace cuminmoor::central::test;
+
+namespace {
+
+constexpr std::size_t vms{5};
+constexpr std::size_t runners{6};
+constexpr std::uint64_t services{4};
+constexpr std::uint32_t tasks_of_service{6};
+
+/// Users miss a service task that has had no run for this long.
+constexpr millis missed_after{9'000};
+
+struct fixture {
+    central_world w;
+
+    explicit fixture(std::uint64_t seed) : w{{.seed = seed, .vms = vms, .runners = runners}}
+    {
+        w.run_for(warm_up);
+        for (std::uint64_t n{1}; n <= services; ++n) {
+            graph_job job = central_world::make_job(id_of(n), 1, tasks_of_service, {400});
+            job.steps[0].is_service = true;
+            w.submit(n % 3, job);
+        }
+        w.run_for({1'000});
+        cr_assert_eq(running_tasks(), services * tasks_of_service);
+    }
+
+    /// \return the number of tasks that run on runners that can be reached.
+    std::size_t running_tasks()
+    {
+        std::size_t running{0};
+        for (std::size_t i{0}; i < runners; ++i) {
+            const bool is_gone = !w.runner(i).is_up || w.faults.unreachable_runners.contains(i);
+            running += is_gone ? 0 : w.runner(i).running.size();
+        }
+        return running;
+    }
+
+    /// The runner is gone for good, without notice.
+    void lose_runner(std::size_t i)
+    {
+        w.crash_runner_for_a_while(i);
+        w.runner(i).is_up = false;
+        w.set_listed(i, false);
+    }
+
+    /// Stops the VM that schedules, if any does, and starts it again.
+    void replace_scheduler(millis until_restart)
+    {
+        const auto vm = w.scheduler();
+        if (vm) {
+            w.stop_gracefully(*vm);
+        }
+        w.run_for(until_restart);
+        if (vm) {
+            w.restart(*vm);
+        }
+    }
+};
+
+/// Runs until all tasks run, stopping the VM that schedules each 2 s.
+/// \return how long that took.
+millis time_until_all_run(fixture& f, millis limit)
+{
+    const instant begin = f.w.now();
+    instant next_stop = begin;
+    while (f.running_tasks() < services * tasks_of_service && f.w.now() - begin < limit) {
+        if (f.w.now() >= next_stop) {
+            constexpr millis restart{1'000};
+            f.replace_scheduler(restart);
+            next_stop = f.w.now() + restart;
+        }
+        f.w.run_for({100});
+    }
+    return f.w.now() - begin;
+}
+
+} // namespace
+
+/// Guards against recovery that begins anew with each holder of the lease, so that tasks of a lost
+/// runner wait for as long as holders are stopped (review/4, seen by users as LOST).
+Test(central_handover, tasks_of_a_lost_runner_wait_once_for_its_leases)
+{
+    fixture f{1};
+    const std::size_t lost = f.w.runner(0).running.size();
+    cr_assert_gt(lost, 0);
+    f.lose_runner(0);
+    cr_assert_leq(time_until_all_run(f, {30'000}).count, missed_after.count);
+    expect_no_violation(f.w);
+}
+
+/// The same for tasks that were evicted from a runner that leaves: they did not run on the lost
+/// one.
+Test(central_handover, evicted_tasks_do_not_wait_for_leases_of_other_runners)
+{
+    fixture f{1};
+    const std::size_t lost = f.w.runner(0).running.size();
+    f.lose_runner(0);
+    f.w.run_for({500});
+    f.w.drain_runner(1);
+    f.w.stop_gracefully(*f.w.scheduler());
+    f.w.run_for({2'500});
+    cr_assert(f.w.runner(1).running.empty());
+    cr_assert_eq(f.running_tasks(), services * tasks_of_service - lost);
+    expect_no_violation(f.w);
+}
+
+/// Runners that are only cut off work on, so nothing that may run there starts elsewhere before
+/// their leases have expired, however often the holder changes.
+Test(central_handover, nothing_runs_twice_while_runners_are_cut_off)
+{
+    constexpr std::uint64_t seeds{60};
+    for (std::uint64_t seed{1}; seed <= seeds; ++seed) {
+        fixture f{seed};
+        std::mt19937_64 random{seed};
+        const auto draw = [&random](std::uint64_t below) { return random() % below; };
+        for (int round{0}; round < 12; ++round) {
+            const std::size_t cut = draw(runners);
+            f.w.faults.unreachable_runners.insert(cut);
+            const millis delay{static_cast<std::int64_t>(draw(1'500))};
+            f.w.run_for(delay);
+            const std::size_t draining = draw(4 * runners);
+            if (draining < runners) {
+                f.w.drain_runner(draining);
+            }
+            f.w.faults.lost_commits = draw(2) == 0 ? 0 : 0.3;
+            f.replace_scheduler({static_cast<std::int64_t>(draw(2'500))});
+            if (draw(3) == 0) {
+                f.w.faults.unreachable_runners.clear();
+            }
+        }
+        f.w.faults = {};
+        f.w.run_for({15'000});
+        expect_no_violation(f.w);
+    }
+}
