Crashes: a task that seems to crash its runners is held back, its job goes on (LOST)

Cause: crashes of runners are evidence against a task and may be wrong, but they ended its job, which cannot be taken back. The rule counts only ends reported as failed.

A start that a runner answers as malformed is a refusal, not a failure.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -133,10 +133,15 @@
 /// least this many other losses have no suspect at all.
 inline constexpr millis prompt_crash_time{100};
 inline constexpr std::size_t min_unexplained_losses{2};
-/// A task is given up, and its job fails, after this many crashes that are attributed to it, or
-/// that it may have caused.
-inline constexpr std::uint32_t attributed_crashes_to_give_up{2};
-inline constexpr std::uint32_t possible_crashes_to_give_up{4};
+/// A task is held back after this many crashes that are attributed to it, or that it may have
+/// caused.
+inline constexpr std::uint32_t attributed_crashes_to_hold_back{2};
+inline constexpr std::uint32_t possible_crashes_to_hold_back{4};
+/// Time for which it is held back, and the same after few crashes. Users accept two starts after
+/// the third crash, and consider a service task lost after 9 s without a run.
+inline constexpr millis crash_hold_back{300'000};
+inline constexpr millis brief_crash_hold_back{5'000};
+inline constexpr std::uint32_t crashes_held_back_briefly{3};
 
 // Placement.
 /// Minimum time between placement rounds if no step became ready in between.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -118,6 +118,10 @@
     /// The suspect was started, and the outcome is not known yet. A successor that finds no such
     /// run knows that it was lost.
     bool has_open_run{false};
+    /// Crashes for which it was a suspect under this holder of the lease; not stored.
+    std::uint32_t suspected{0};
+    /// The task does not start before; not stored.
+    std::optional<instant> held_back_until{};
 };
 
 struct task_record {
--- a/src/central/crashes.cpp
+++ b/src/central/crashes.cpp
@@ -1,8 +1,10 @@
 /// \file
 /// Tasks that crash the runners that start them.
 ///
-/// Such a task takes down everything that runs beside it, again and again, so it is given up. Other
-/// tasks on a crashed runner did nothing wrong and must not be.
+/// Such a task takes down everything that runs beside it, again and again, so it is held back,
+/// longer after each further crash. It is not given up: crashes are evidence, but only an end
+/// reported as failed shows that a task has failed. Other tasks on a crashed runner did nothing
+/// wrong.
 ///
 /// A run that crashes its runner does so soon after its start. A task whose run had just started
 /// when the runner was lost is a suspect. When it starts again it is isolated: if possible on a
@@ -77,15 +79,34 @@
     }
 }
 
-void give_up_if_proved(const context& c, const graph_task_id& id, task_ref ref)
+bool is_proved(const crash_counts& counts)
+{
+    return counts.attributed >= config::attributed_crashes_to_hold_back ||
+           counts.possible >= config::possible_crashes_to_hold_back;
+}
+
+/// \return how long a task is held back after its last crash: briefly if this holder of the lease
+/// has seen all its crashes and they are few, as others may be to blame.
+millis hold_back_time(const task_ref& ref)
 {
     const crash_counts& counts = ref.task->crashes;
-    const bool is_proved = counts.attributed >= config::attributed_crashes_to_give_up ||
-                           counts.possible >= config::possible_crashes_to_give_up;
-    if (is_proved) {
-        end_job(c, *ref.job, job_state::failed,
-                absl::StrCat("task ", to_string(id), " crashed ", counts.possible, " runners"));
+    const bool are_few =
+        std::max(counts.possible, counts.suspected) <= config::crashes_held_back_briefly;
+    return are_few && !ref.job->recovered ? config::brief_crash_hold_back : config::crash_hold_back;
+}
+
+void hold_back_if_proved(const context& c, const graph_task_id& id, const task_ref& ref)
+{
+    crash_counts& counts = ref.task->crashes;
+    if (!is_proved(counts)) {
+        return;
     }
+    const millis time = hold_back_time(ref);
+    counts.held_back_until = c.now + time;
+    c.log("task_held_back", {{"task", to_string(id)},
+                             {"possible_crashes", absl::StrCat(counts.possible)},
+                             {"attributed_crashes", absl::StrCat(counts.attributed)},
+                             {"for_ms", absl::StrCat(time.count)}});
 }
 
 /// How a crash counts for a suspect.
@@ -111,6 +132,7 @@
     }
     crash_counts& counts = ref.task->crashes;
     counts.is_suspect = true;
+    ++counts.suspected;
     counts.possible += blame == crash_blame::outside_cause ? 0 : 1;
     counts.attributed += blame == crash_blame::attributed ? 1 : 0;
     mark_changed(c, *ref.job);
@@ -118,7 +140,7 @@
                              {"runner", r.entry.id.value},
                              {"possible_crashes", absl::StrCat(counts.possible)},
                              {"attributed_crashes", absl::StrCat(counts.attributed)}});
-    give_up_if_proved(c, id, ref);
+    hold_back_if_proved(c, id, ref);
 }
 
 /// Sets the culprit of a loss: the only suspect if it was isolated, or the only isolated one if the
@@ -217,17 +239,31 @@
     }
 }
 
-bool begin_suspect_run(const context& c, const graph_task_id& id, task_ref ref)
+bool is_held_back(const context& c, const graph_task_id& id, task_ref ref)
 {
     crash_counts& counts = ref.task->crashes;
     if (!counts.is_suspect) {
-        return true;
+        return false;
+    }
+    const bool was_lost_with_holder = std::exchange(counts.has_open_run, false);
+    counts.possible += was_lost_with_holder ? 1 : 0;
+    // A successor does not know when the last crash was.
+    if (was_lost_with_holder || !counts.held_back_until) {
+        hold_back_if_proved(c, id, ref);
+    }
+    const bool is_held = counts.held_back_until && c.now < *counts.held_back_until;
+    if (is_held) {
+        c.wake_by(*counts.held_back_until);
+    }
+    return is_held;
+}
+
+void begin_suspect_run(const context& c, task_ref ref)
+{
+    if (ref.task->crashes.is_suspect) {
+        ref.task->crashes.has_open_run = true;
+        mark_changed(c, *ref.job);
     }
-    counts.possible += counts.has_open_run ? 1 : 0;
-    counts.has_open_run = true;
-    mark_changed(c, *ref.job);
-    give_up_if_proved(c, id, ref);
-    return !ref.job->has_ended();
 }
 
 void end_suspect_run(const context& c, task_ref ref)
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -169,19 +169,16 @@
 {
     const context& c = round.c;
     const task_ref ref = find_task(c.s, id);
-    // The job may have ended in this round, see `begin_suspect_run`.
-    const bool is_startable =
-        ref.task->status == task_status::ready && !ref.task->current_run && !ref.job->has_ended();
-    if (!is_startable || may_run_unreported(c, id, ref)) {
+    const bool is_startable = ref.task->status == task_status::ready && !ref.task->current_run;
+    if (!is_startable || may_run_unreported(c, id, ref) || is_held_back(c, id, ref)) {
         return true;
     }
     runner_record* const r = select_for_task(round, id, ref, requirement);
     if (r == nullptr) {
         return false;
     }
-    if (begin_suspect_run(c, id, ref)) {
-        start_run(c, id, ref, *r, next_run_number(c, *ref.task));
-    }
+    begin_suspect_run(c, ref);
+    start_run(c, id, ref, *r, next_run_number(c, *ref.task));
     return true;
 }
 
--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -75,9 +75,6 @@
     if (r != nullptr) {
         r->avoided_until = std::max(r->avoided_until, c.now + config::refused_start_avoid_time);
     }
-    if (e.result == order_result::malformed) {
-        fail_task(c, e.task, ref);
-    }
     release_run(c, e.task, ref);
 }
 
