--- a/tests/test_central_large_jobs.cpp
+++ b/tests/test_central_large_jobs.cpp
@@ -66,6 +66,7 @@
     central_world w{{.runners = 40, .runner_capacity = {64'000, 64'000, 0}}};
     w.run_for(warm_up);
     constexpr std::uint32_t times{24};
+    constexpr std::uint64_t tasks{std::uint64_t{times} * 5 * 32};
     const graph_job job = make_scheduled_job(first_large_job, times, {100}, {1'000});
     w.submit(0, job);
     w.run_for({10'500});
@@ -76,7 +77,7 @@
     w.stop_gracefully(*w.scheduler());
     w.run_for({30'000});
     expect_done(w, first_large_job);
-    cr_assert_eq(w.starts(), times * 5 * 32);
+    cr_assert_eq(w.starts(), tasks);
     expect_no_violation(w);
 }
 
@@ -95,14 +96,15 @@
 {
     central_world w{{.runners = 40, .runner_capacity = {64'000, 64'000, 0}}};
     w.run_for(warm_up);
-    graph_job job = central_world::make_job(id_of(small_job), 1, 5'000, {10});
+    constexpr std::uint32_t tasks{5'000};
+    graph_job job = central_world::make_job(id_of(small_job), 1, tasks, {10});
     constexpr std::uint32_t times{3};
     job.repeats.count = times;
     job.repeats.first_at = start_at;
     w.submit(0, job);
     w.run_for({30'000});
     expect_done(w, small_job);
-    cr_assert_eq(w.starts(), times * 5'000);
+    cr_assert_eq(w.starts(), std::uint64_t{times} * tasks);
     expect_no_violation(w);
 }
 
--- a/tests/test_daemon_http_silence.cpp
+++ b/tests/test_daemon_http_silence.cpp
@@ -24,6 +24,7 @@
 namespace {
 
 constexpr int kept_connections{4};
+constexpr long most_connections{8};
 constexpr cm::millis short_time{200};
 constexpr cm::millis long_time{5'000};
 
@@ -31,7 +32,7 @@
     io::system_clock clock;
     asio::io_context context{1};
     std::unique_ptr<io::http_client> client{
-        io::make_asio_http_client(context, clock, 2 * kept_connections)};
+        io::make_asio_http_client(context, clock, most_connections)};
     int ended{0};
     std::optional<io::http_outcome> last_outcome;
 
