--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -113,6 +113,8 @@
     /// Pauses a VM's process when it is about to send its next start order. This order and those
     /// behind it are sent when the process resumes, and what arrived meanwhile is processed then.
     void pause_at_next_start(std::size_t vm, millis time) { vms_[vm].pause_at_next_start = time; }
+    /// Pauses a VM's process at once. What arrives meanwhile is processed when it resumes.
+    void freeze(std::size_t vm, millis time) { vms_[vm].paused_until = now_ + time; }
     [[nodiscard]] bool is_paused(std::size_t vm) const { return vms_[vm].paused_until > now_; }
     [[nodiscard]] bool is_up(std::size_t vm) const { return vms_[vm].is_up; }
     [[nodiscard]] bool is_flushing(std::size_t vm) const { return vms_[vm].is_flushing; }
--- a/tests/test_central_handover.cpp
+++ b/tests/test_central_handover.cpp
@@ -7,7 +7,7 @@
 
 #include <criterion/criterion.h>
 
-#include "central/expectations.h"
+#include "central/service_fixture.h"
 
 using namespace cuminmoor;
 using namespace cuminmoor::central;
@@ -15,47 +15,9 @@
 
 namespace {
 
-constexpr std::size_t vms{5};
-constexpr std::size_t runners{6};
-constexpr std::uint64_t services{4};
-constexpr std::uint32_t tasks_of_service{6};
-
-/// Users miss a service task that has had no run for this long.
-constexpr millis missed_after{9'000};
-
-struct fixture {
-    central_world w;
-
-    explicit fixture(std::uint64_t seed) : w{{.seed = seed, .vms = vms, .runners = runners}}
-    {
-        w.run_for(warm_up);
-        for (std::uint64_t n{1}; n <= services; ++n) {
-            graph_job job = central_world::make_job(id_of(n), 1, tasks_of_service, {400});
-            job.steps[0].is_service = true;
-            w.submit(n % 3, job);
-        }
-        w.run_for({1'000});
-        cr_assert_eq(running_tasks(), services * tasks_of_service);
-    }
-
-    /// \return the number of tasks that run on runners that can be reached.
-    std::size_t running_tasks()
-    {
-        std::size_t running{0};
-        for (std::size_t i{0}; i < runners; ++i) {
-            const bool is_gone = !w.runner(i).is_up || w.faults.unreachable_runners.contains(i);
-            running += is_gone ? 0 : w.runner(i).running.size();
-        }
-        return running;
-    }
-
-    /// The runner is gone for good, without notice.
-    void lose_runner(std::size_t i)
-    {
-        w.crash_runner_for_a_while(i);
-        w.runner(i).is_up = false;
-        w.set_listed(i, false);
-    }
+/// Service tasks, and planned stops of the VM that schedules.
+struct fixture : service_fixture {
+    using service_fixture::service_fixture;
 
     /// Stops the VM that schedules, if any does, and starts it again.
     void replace_scheduler(millis until_restart)
@@ -77,7 +39,7 @@
 {
     const instant begin = f.w.now();
     instant next_stop = begin;
-    while (f.running_tasks() < services * tasks_of_service && f.w.now() - begin < limit) {
+    while (f.running_tasks() < f.tasks() && f.w.now() - begin < limit) {
         if (f.w.now() >= next_stop) {
             constexpr millis restart{1'000};
             f.replace_scheduler(restart);
@@ -114,7 +76,7 @@
     f.w.stop_gracefully(*f.w.scheduler());
     f.w.run_for({2'500});
     cr_assert(f.w.runner(1).running.empty());
-    cr_assert_eq(f.running_tasks(), services * tasks_of_service - lost);
+    cr_assert_eq(f.running_tasks(), f.tasks() - lost);
     expect_no_violation(f.w);
 }
 
@@ -128,12 +90,12 @@
         std::mt19937_64 random{seed};
         const auto draw = [&random](std::uint64_t below) { return random() % below; };
         for (int round{0}; round < 12; ++round) {
-            const std::size_t cut = draw(runners);
+            const std::size_t cut = draw(fixture::runners);
             f.w.faults.unreachable_runners.insert(cut);
             const millis delay{static_cast<std::int64_t>(draw(1'500))};
             f.w.run_for(delay);
-            const std::size_t draining = draw(4 * runners);
-            if (draining < runners) {
+            const std::size_t draining = draw(4 * fixture::runners);
+            if (draining < fixture::runners) {
                 f.w.drain_runner(draining);
             }
             f.w.faults.lost_commits = draw(2) == 0 ? 0 : 0.3;
