--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -19,6 +19,10 @@
 inline constexpr millis lease_length{3'000};
 inline constexpr millis lease_renewal{1'000};
 inline constexpr millis lease_retry{200};
+/// Minimum time between two renewals if the later one is early because a runner was lost, or
+/// because one was found: its leases are not extended until then.
+inline constexpr millis renewal_after_loss{500};
+inline constexpr millis renewal_after_find{50};
 /// A holder that has not renewed its lease for this long stops sending orders and extending run
 /// leases. The next holder waits this much longer for runners that it cannot reach.
 inline constexpr millis max_time_without_renewal{6'000};
@@ -93,7 +97,8 @@
 inline constexpr millis runner_timeout{2'000};
 inline constexpr millis hold_retry{200};
 inline constexpr millis max_hold_retry{1'000};
-/// Interval of holds while the consequences of reported ends are not stored yet.
+/// Interval of holds while the consequences of reported ends are not stored yet, or while the
+/// lease row is outdated about the runner.
 inline constexpr millis unstored_hold_interval{150};
 /// A stop order is repeated after this time until the runner confirms it, and due repeats are sent
 /// at most once per `stop_retry_interval`.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -294,10 +294,10 @@
     runner_id runner;
     /// Time until all leases on it have expired.
     millis leases_end_within;
-    /// Tasks that may run there; not set: any.
+    /// Service tasks that may run there; not set: any.
     std::optional<std::vector<graph_task_id>> tasks;
     /// Tasks for which it counts if the runner has crashed, and whether it is attributed to them;
-    /// see crashes.cpp.
+    /// see crashes.cpp. Only in the row of a released lease: a holder that goes on counts itself.
     std::vector<graph_task_id> suspects;
     bool is_attributed{false};
 };
@@ -317,7 +317,8 @@
     bool may_run_unreported{false};
     /// What the holder before handed over about it; of use while `may_run_unreported`.
     std::optional<unreported_runner> handed_over;
-    /// The next holder of the lease was told what may run there, so nothing is added to that.
+    /// The lease row, as it may be stored, tells what may run there. So nothing is started there,
+    /// and leases are not extended, until a row without it is certainly stored.
     bool is_handed_over{false};
     /// A service there missed its target in the last report, or nearly so.
     bool is_disturbed{false};
@@ -416,11 +417,12 @@
 
 // ---- Store ---------------------------------------------------------------------------------
 
-/// What a holder that releases its lease knows of the leases that it and earlier holders granted.
+/// What a holder of the lease knows of the leases that it and earlier holders granted.
 struct handover {
     /// Runners that did not answer it, or are about to leave.
     std::vector<unreported_runner> runners;
-    /// Time until the leases on all other runners have expired.
+    /// Time until the leases on all other runners have expired. Of use only if the lease was
+    /// released: otherwise the holder may go on granting.
     millis leases_end_within;
 };
 
@@ -434,7 +436,7 @@
     bool released{false};
     /// The holder has completed its recovery: no run lease of an earlier holder is valid any more.
     bool recovered{false};
-    /// Only if `released`.
+    /// Not set if it does not fit into the row.
     std::optional<handover> handed_over;
 };
 
@@ -471,6 +473,8 @@
     bool renewal_in_flight{false};
     /// The commit in flight releases the lease.
     bool release_in_flight{false};
+    /// When a row should be sent because runners were lost or found since the last one.
+    instant handover_due{never};
     /// Number of the newest commit of the lease row; answers to earlier commits are ignored.
     std::uint64_t last_commit{0};
     instant retry_at;
--- a/src/central/handover.cpp
+++ b/src/central/handover.cpp
@@ -8,6 +8,7 @@
 #include "handover.h"
 
 #include <algorithm>
+#include <set>
 
 #include "absl/strings/str_cat.h"
 
@@ -33,25 +34,50 @@
     return h;
 }
 
-std::vector<graph_task_id> tasks_on(const runner_record& r)
+std::vector<graph_task_id> service_tasks_on(const context& c, const runner_record& r)
 {
-    std::vector<graph_task_id> tasks{r.runs.begin(), r.runs.end()};
+    std::vector<graph_task_id> tasks;
+    const auto add_if_service = [&](const graph_task_id& id) {
+        const task_ref ref = find_task(c.s, id);
+        if (ref && ref.step->is_service) {
+            tasks.push_back(id);
+        }
+    };
+    std::for_each(r.runs.begin(), r.runs.end(), add_if_service);
     for (const auto& [id, orphan] : r.orphans) {
-        tasks.push_back(id);
+        add_if_service(id);
     }
     return tasks;
 }
 
-unreported_runner unreported_runner_of(const context& c, const runner_record& r)
+/// \return true if the successor is told what may run there, as the runner may not answer it.
+bool is_unreported(const runner_record& r, bool released)
+{
+    if (!r.stored) {
+        return false;
+    }
+    if (released) {
+        return !r.is_responsive || r.entry.draining || r.may_run_unreported;
+    }
+    // What is told of a runner keeps this holder from using it, so nothing is told of runners that
+    // answer or have not been asked yet.
+    const bool is_unknown = r.holds_failed == 0 && !r.handed_over;
+    return !r.is_responsive && !is_unknown;
+}
+
+unreported_runner unreported_runner_of(const context& c, const runner_record& r, bool released)
 {
     unreported_runner u;
     if (!r.may_run_unreported) {
-        u.tasks = tasks_on(r);
+        u.tasks = service_tasks_on(c, r);
         add_suspects(c, r, u);
     }
     else if (r.handed_over) {
         u = *r.handed_over;
     }
+    if (!released) {
+        u.suspects.clear();
+    }
     u.runner = r.entry.id;
     u.leases_end_within = time_until(c.now, r.leases_expire_by);
     return u;
@@ -63,6 +89,8 @@
     if (found != c.s.scheduler.runners.end()) {
         found->second.leases_expire_by = c.s.lease.predecessor_seen_at + from.leases_end_within;
         found->second.handed_over = from;
+        // The row of this term repeats it.
+        found->second.is_handed_over = true;
     }
 }
 
@@ -87,7 +115,7 @@
 
 } // namespace
 
-handover make_handover(const context& c)
+handover make_handover(const context& c, bool released)
 {
     if (c.s.lease.current_role != role::scheduler) {
         // This holder has granted no lease.
@@ -95,15 +123,58 @@
     }
     handover h;
     h.leases_end_within = longest_lease(c.s);
+    for (const auto& [id, r] : c.s.scheduler.runners) {
+        if (is_unreported(r, released)) {
+            h.runners.push_back(unreported_runner_of(c, r, released));
+        }
+    }
+    return h;
+}
+
+void begin_handover(const context& c, const lease_row& row)
+{
+    c.s.lease.handover_due = never;
+    if (!row.handed_over) {
+        return;
+    }
+    for (const unreported_runner& each : row.handed_over->runners) {
+        const auto found = c.s.scheduler.runners.find(each.runner);
+        if (found != c.s.scheduler.runners.end()) {
+            found->second.is_handed_over = true;
+        }
+    }
+}
+
+void end_old_handovers(const context& c, const lease_row& stored)
+{
+    std::set<runner_id> handed_over;
+    if (stored.handed_over) {
+        for (const unreported_runner& each : stored.handed_over->runners) {
+            handed_over.insert(each.runner);
+        }
+    }
     for (auto& [id, r] : c.s.scheduler.runners) {
-        const bool will_answer = r.is_responsive && !r.entry.draining && !r.may_run_unreported;
-        if (!r.stored || will_answer) {
+        if (!r.is_handed_over || handed_over.contains(id)) {
             continue;
         }
-        r.is_handed_over = true;
-        h.runners.push_back(unreported_runner_of(c, r));
+        r.is_handed_over = false;
+        r.last_offer.reset();
+        r.next_hold_at = std::min(r.next_hold_at, c.now);
+        c.s.scheduler.placement_due = true;
+        c.wake_by(c.now);
     }
-    return h;
+}
+
+void update_handover(const context& c, const runner_record& r)
+{
+    if (r.is_handed_over == is_unreported(r, false)) {
+        return;
+    }
+    lease_state& l = c.s.lease;
+    const millis interval =
+        r.is_responsive ? config::renewal_after_find : config::renewal_after_loss;
+    l.handover_due = std::min(l.handover_due, l.renewal_sent_at + interval);
+    c.wake_by(l.handover_due);
 }
 
 void begin_recovery(const context& c)
@@ -118,6 +189,11 @@
     for (const unreported_runner& each : l.predecessor.runners) {
         mark_handed_over(c, each);
     }
+    c.log("recovery_begun", {{"term", absl::StrCat(l.term.value)},
+                             {"runners", absl::StrCat(s.runners.size())},
+                             {"handed_over", absl::StrCat(l.predecessor.runners.size())},
+                             {"leases_end_ms",
+                              absl::StrCat(time_until(c.now, l.predecessor_leases_end).count)}});
 }
 
 void end_recovery_if_complete(const context& c)
--- a/src/central/handover.h
+++ b/src/central/handover.h
@@ -1,15 +1,22 @@
 /// \file
-/// What a holder of the lease tells its successor when it releases the lease, so that tasks need
-/// not wait for the leases of runners that the successor cannot ask.
+/// What a holder of the lease tells its successor in each row of the lease, so that tasks need not
+/// wait for the leases of runners that the successor cannot ask.
 #pragma once
 
 #include "parts.h"
 
 namespace cuminmoor::central {
 
-/// \return what the successor may not learn from the runners' reports. From now on this holder
-/// starts nothing on the runners in it and does not extend their leases.
-handover make_handover(const context& c);
+/// \return what the successor may not learn from the runners' reports.
+/// \param released this holder grants no more leases.
+handover make_handover(const context& c, bool released);
+/// Starts nothing on the runners in a row that is about to be sent, and does not extend their
+/// leases.
+void begin_handover(const context& c, const lease_row& row);
+/// Uses runners again that are not in the row that is now stored.
+void end_old_handovers(const context& c, const lease_row& stored);
+/// Called when a runner was lost or found: renews the lease soon if its row is outdated by that.
+void update_handover(const context& c, const runner_record& r);
 /// Marks the runners that may have unreported runs. Called once, after the jobs and the used
 /// runners were loaded.
 void begin_recovery(const context& c);
--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -52,8 +52,11 @@
 {
     l.predecessor_seen_at = l.seen_at;
     l.predecessor_leases_end = l.seen_at + leases_end_within;
-    const bool has_handed_over = l.row && l.row->released && l.row->handed_over;
-    l.predecessor = has_handed_over ? *l.row->handed_over : handover{{}, leases_end_within};
+    l.predecessor = l.row && l.row->handed_over ? *l.row->handed_over : handover{};
+    const bool grants_no_more = l.row && l.row->handed_over && l.row->released;
+    if (!grants_no_more) {
+        l.predecessor.leases_end_within = leases_end_within;
+    }
 }
 
 /// \return the jittered delay of this VM's claim; VMs with insufficient capacity wait longer, so
@@ -98,19 +101,38 @@
     return {s.self.vm.value, s.self.address, s.self.incarnation, term, released, recovered, {}};
 }
 
+/// Encodes the row that is about to be sent. Runners of which it cannot tell are left out, as if
+/// this holder knew nothing of them.
+std::string encode_fitting_lease(const context& c, lease_row& row)
+{
+    std::string encoded = encode_lease(row);
+    const std::size_t known = row.handed_over ? row.handed_over->runners.size() : 0;
+    while (encoded.size() > config::max_row_bytes && row.handed_over) {
+        auto& runners = row.handed_over->runners;
+        runners.resize(runners.size() / 2);
+        if (runners.empty()) {
+            row.handed_over.reset();
+        }
+        encoded = encode_lease(row);
+    }
+    const std::size_t kept = row.handed_over ? row.handed_over->runners.size() : 0;
+    if (kept < known) {
+        c.log("handover_incomplete", {{"term", absl::StrCat(row.term.value)},
+                                      {"runners", absl::StrCat(known)},
+                                      {"kept", absl::StrCat(kept)}});
+    }
+    return encoded;
+}
+
 void send_lease(const context& c, rows_commit commit, bool released)
 {
     lease_state& l = c.s.lease;
     commit.purpose = commit_purpose::lease;
     commit.preconditions.push_back({lease_key, l.version});
     l.row_in_flight = own_row(c.s, l.term, released);
-    if (released) {
-        l.row_in_flight.handed_over = make_handover(c);
-    }
-    if (encode_lease(l.row_in_flight).size() > config::max_row_bytes) {
-        l.row_in_flight.handed_over.reset();
-    }
-    commit.changes.push_back({lease_key, encode_lease(l.row_in_flight)});
+    l.row_in_flight.handed_over = make_handover(c, released);
+    commit.changes.push_back({lease_key, encode_fitting_lease(c, l.row_in_flight)});
+    begin_handover(c, l.row_in_flight);
     commit.number = ++l.last_commit;
     l.renewal_in_flight = true;
     l.release_in_flight = released;
@@ -165,7 +187,8 @@
 void renew_when_due(const context& c)
 {
     lease_state& l = c.s.lease;
-    const instant due = std::max(l.renewal_sent_at + config::lease_renewal, l.retry_at);
+    const instant next = std::min(l.renewal_sent_at + config::lease_renewal, l.handover_due);
+    const instant due = std::max(next, l.retry_at);
     if (l.renewal_in_flight) {
         return;
     }
@@ -186,8 +209,9 @@
         l.version = e.version;
         l.seen_at = c.now;
         l.renewed_at = l.renewal_sent_at;
+        l.row = l.row_in_flight;
+        end_old_handovers(c, *l.row);
         if (l.release_in_flight) {
-            l.row = l.row_in_flight;
             step_down(c, c.s.stopping ? "released for a shutdown" : "released to another VM");
         }
         else if (l.releasing) {
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -45,7 +45,8 @@
 {
     const bool waits_for_store = r.acknowledged < r.last_processed_end;
     const bool has_current_clock = r.clock.has_value() && r.is_responsive;
-    const millis wait = waits_for_store || !has_current_clock ? millis{0} : wait_for_end(r);
+    const bool is_short = waits_for_store || !has_current_clock || r.is_handed_over;
+    const millis wait = is_short ? millis{0} : wait_for_end(r);
     // After a failed hold, only ask for a report. Extending leases would postpone their computed
     // expiry although the runner may be gone, and a restarted runner numbers its ends from 1 again,
     // so an old acknowledgement would match new ends.
@@ -100,6 +101,7 @@
         record_runner_loss(c, r);
     }
     r.is_responsive = false;
+    update_handover(c, r);
     if (result == order_result::other_incarnation) {
         mark_all_runs_lost(c, r, loss_evidence::other_incarnation);
         r.leases_expire_by = c.now;
@@ -135,6 +137,7 @@
         log_runner(c, "runner_found", r, absl::StrCat("runs reported ", e.running.size()));
     }
     r.is_responsive = true;
+    update_handover(c, r);
     r.holds_failed = 0;
     r.hold_was_unanswered = false;
     for (const reported_end& end : e.ended) {
@@ -305,7 +308,7 @@
     }
     process_hold_report(c, r, e);
     update_acknowledged(c, r);
-    const bool waits_for_store = r.acknowledged < r.last_processed_end;
+    const bool waits_for_store = r.acknowledged < r.last_processed_end || r.is_handed_over;
     r.next_hold_at = waits_for_store ? c.now + config::unstored_hold_interval : c.now;
     send_hold_if_due(c, r);
 }
