Metrics: an outcome without a name no longer ends the process

Cause: store_outcome got a fifth value in; the names in central_metrics.cpp were an array of four, indexed by the enumerator, so that std::array::at threw into the event loop.

Names of outcomes, results and roles are now one function each (names.h), a switch without a default, so that -Werror=switch rejects an enumerator without a name. Those of calls, orders and roles stood twice: in the reducer and in the metrics.

--- a/daemon/central_metrics.cpp
+++ b/daemon/central_metrics.cpp
@@ -8,6 +8,8 @@
 
 #include <boost/histogram.hpp>
 
+#include "cuminmoor/central/names.h"
+
 namespace cuminmoor::io {
 
 namespace {
@@ -48,21 +50,6 @@
                                  "hold_ended"};
 static_assert(event_names.size() == std::variant_size_v<central::event>);
 
-constexpr std::array result_names{"accepted",    "state",           "pending",      "cancelled",
-                                  "unknown_job", "unknown_queue",   "malformed",    "overloaded",
-                                  "unavailable", "outcome_unknown", "not_scheduler"};
-
-constexpr std::array order_names{"done",   "fenced",     "superseded", "expired",  "no_room",
-                                 "unwell", "other_life", "malformed",  "not_sent", "unknown"};
-
-constexpr std::array outcome_names{"ok", "conflict", "unavailable", "unknown"};
-
-template <typename Names, typename Enum>
-std::string enum_name(const Names& names, Enum value)
-{
-    return names.at(static_cast<std::size_t>(value));
-}
-
 template <typename Map, typename Key>
 void record_duration(Map& start_times, const Key& key, instant now, ms_histogram& histogram)
 {
@@ -104,12 +91,12 @@
         record_forward_ended(*ended, now);
     }
     else if (const auto* const order = std::get_if<central::runner_order_ended>(&e)) {
-        increment("order_" + enum_name(order_names, order->result));
+        increment(std::string{"order_"} + central::name_of(order->result));
         record_duration(start_sent_at_, std::pair{order->task, order->run}, now,
                         histograms_->start);
     }
     else if (const auto* const commit = std::get_if<central::rows_committed>(&e)) {
-        increment("commit_" + enum_name(outcome_names, commit->outcome));
+        increment(std::string{"commit_"} + central::name_of(commit->outcome));
         if (commit->purpose == central::commit_purpose::progress) {
             record_duration(commit_sent_at_, commit->number, now, histograms_->commit);
         }
@@ -151,7 +138,7 @@
 
 void central_metrics::record(const central::answer_call& e, instant now)
 {
-    increment("call_" + enum_name(result_names, e.answer.result));
+    increment(std::string{"call_"} + central::name_of(e.answer.result));
     record_duration(call_arrived_at_, e.handle, now, histograms_->call);
     record_duration(peer_call_arrived_at_, e.handle, now, histograms_->peer_call_held);
 }
@@ -173,8 +160,7 @@
 
 void central_metrics::record(const central::runner_order& e, instant now)
 {
-    constexpr std::array kinds{"starts", "stops", "paces"};
-    increment(enum_name(kinds, e.kind));
+    increment(std::string{central::name_of(e.kind)} + "s");
     if (e.kind == central::order_kind::start) {
         start_sent_at_[{e.task, e.run}] = now;
     }
--- a/src/central/entry.cpp
+++ b/src/central/entry.cpp
@@ -54,50 +54,6 @@
     }
 }
 
-absl::string_view name_of(call_kind kind)
-{
-    switch (kind) {
-    case call_kind::submit:
-        return "submit";
-    case call_kind::query:
-        return "query";
-    case call_kind::cancel:
-        return "cancel";
-    case call_kind::count_pending:
-        return "count_pending";
-    }
-    return "";
-}
-
-absl::string_view name_of(call_result result)
-{
-    switch (result) {
-    case call_result::accepted:
-        return "accepted";
-    case call_result::state:
-        return "state";
-    case call_result::pending:
-        return "pending";
-    case call_result::cancelled:
-        return "cancelled";
-    case call_result::unknown_job:
-        return "unknown_job";
-    case call_result::unknown_queue:
-        return "unknown_queue";
-    case call_result::malformed:
-        return "malformed";
-    case call_result::overloaded:
-        return "overloaded";
-    case call_result::unavailable:
-        return "unavailable";
-    case call_result::outcome_unknown:
-        return "outcome_unknown";
-    case call_result::not_scheduler:
-        return "not_scheduler";
-    }
-    return "";
-}
-
 /// Logs a forward that ended without a final answer.
 /// \param sent "true", "false" or "unknown".
 /// \param result the peer's answer, or "no_answer".
--- a/src/central/handover.cpp
+++ b/src/central/handover.cpp
@@ -189,11 +189,11 @@
     for (const unreported_runner& each : l.predecessor.runners) {
         mark_handed_over(c, each);
     }
-    c.log("recovery_begun", {{"term", absl::StrCat(l.term.value)},
-                             {"runners", absl::StrCat(s.runners.size())},
-                             {"handed_over", absl::StrCat(l.predecessor.runners.size())},
-                             {"leases_end_ms",
-                              absl::StrCat(time_until(c.now, l.predecessor_leases_end).count)}});
+    c.log("recovery_begun",
+          {{"term", absl::StrCat(l.term.value)},
+           {"runners", absl::StrCat(s.runners.size())},
+           {"handed_over", absl::StrCat(l.predecessor.runners.size())},
+           {"leases_end_ms", absl::StrCat(time_until(c.now, l.predecessor_leases_end).count)}});
 }
 
 void end_recovery_if_complete(const context& c)
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cuminmoor/central/config.h"
+#include "cuminmoor/central/names.h"
 #include "cuminmoor/central/state.h"
 
 namespace cuminmoor::central {
--- a/src/central/reduce.cpp
+++ b/src/central/reduce.cpp
@@ -16,23 +16,6 @@
 template <typename... Handlers>
 overloaded(Handlers...) -> overloaded<Handlers...>;
 
-const char* name_of(role r)
-{
-    switch (r) {
-    case role::follower:
-        return "follower";
-    case role::reading_head:
-        return "reading_head";
-    case role::claiming:
-        return "claiming";
-    case role::loading:
-        return "loading";
-    case role::scheduler:
-        return "scheduler";
-    }
-    return "";
-}
-
 void on_operator_changed(const context& c, const operator_changed& e)
 {
     operator_configuration& known = c.s.operators;
--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -10,33 +10,6 @@
 
 namespace {
 
-const char* name_of(order_result result)
-{
-    switch (result) {
-    case order_result::done:
-        return "done";
-    case order_result::fenced:
-        return "fenced";
-    case order_result::superseded:
-        return "superseded";
-    case order_result::expired:
-        return "expired";
-    case order_result::no_capacity:
-        return "no_room";
-    case order_result::unhealthy:
-        return "unwell";
-    case order_result::other_incarnation:
-        return "other_life";
-    case order_result::malformed:
-        return "malformed";
-    case order_result::not_sent:
-        return "not_sent";
-    case order_result::unknown:
-        return "unknown";
-    }
-    return "";
-}
-
 /// \param clock the runner's clock when it answered the order.
 void on_start_done(const context& c, const graph_task_id& id, task_ref ref, runner_record& r,
                    const std::optional<remote_instant>& clock)
--- a/tests/central/service_fixture.h
+++ b/tests/central/service_fixture.h
@@ -21,8 +21,7 @@
 
     central_world w;
 
-    explicit service_fixture(std::uint64_t seed)
-        : w{{.seed = seed, .vms = vms, .runners = runners}}
+    explicit service_fixture(std::uint64_t seed) : w{{.seed = seed, .vms = vms, .runners = runners}}
     {
         w.run_for(warm_up);
         for (std::uint64_t n{1}; n <= services; ++n) {
--- a/tests/raw_http_server.h
+++ b/tests/raw_http_server.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -32,10 +33,30 @@
             "\r\n" + body};
 }
 
-/// Takes reactions in order, one for each request; without one it keeps the connection open.
+/// Decides what a server does with a request, given its head. Called once at a time.
+struct responder {
+    explicit responder(std::function<reaction(const std::string& head)> f) : react{std::move(f)} {}
+
+    std::function<reaction(const std::string& head)> react;
+};
+
+/// Reacts to each request; a reaction without bytes leaves the caller without an answer.
 class raw_http_server {
 public:
-    explicit raw_http_server(std::deque<reaction> reactions) : reactions_{std::move(reactions)}
+    /// Takes reactions in order, one for each request; without one it keeps the connection open.
+    explicit raw_http_server(std::deque<reaction> reactions)
+        : raw_http_server{
+              responder{[reactions = std::move(reactions)](const std::string& /*head*/) mutable {
+                  if (reactions.empty()) {
+                      return reaction{};
+                  }
+                  reaction next = reactions.front();
+                  reactions.pop_front();
+                  return next;
+              }}}
+    {
+    }
+    explicit raw_http_server(responder r) : responder_{std::move(r)}
     {
         thread_ = std::thread{[this] { accept(); }};
     }
@@ -87,10 +108,11 @@
     void serve(asio::ip::tcp::socket& socket)
     {
         std::string buffer;
+        std::string head;
         asio::error_code error;
-        while (read_request(socket, buffer)) {
+        while (read_request(socket, buffer, head)) {
             ++requests_;
-            const reaction next = take();
+            const reaction next = react_to(head);
             asio::write(socket, asio::buffer(next.bytes), error);
             if (next.closes) {
                 socket.shutdown(asio::ip::tcp::socket::shutdown_both, error);
@@ -101,40 +123,38 @@
         ++closed_by_client_;
     }
 
-    static bool read_request(asio::ip::tcp::socket& socket, std::string& buffer)
+    static bool read_request(asio::ip::tcp::socket& socket, std::string& buffer, std::string& head)
     {
         asio::error_code error;
-        const std::size_t head =
+        const std::size_t head_bytes =
             asio::read_until(socket, asio::dynamic_buffer(buffer), "\r\n\r\n", error);
         if (error) {
             return false;
         }
-        const auto field = buffer.find("Content-Length: ");
+        head = buffer.substr(0, head_bytes);
+        const auto field = head.find("Content-Length: ");
         const std::size_t body =
-            field < head ? std::stoul(buffer.substr(field + sizeof("Content-Length: ") - 1)) : 0;
-        if (buffer.size() < head + body) {
+            field != std::string::npos
+                ? std::stoul(head.substr(field + sizeof("Content-Length: ") - 1))
+                : 0;
+        if (buffer.size() < head_bytes + body) {
             asio::read(socket, asio::dynamic_buffer(buffer),
-                       asio::transfer_exactly(head + body - buffer.size()), error);
+                       asio::transfer_exactly(head_bytes + body - buffer.size()), error);
         }
-        buffer.erase(0, head + body);
+        buffer.erase(0, head_bytes + body);
         return !error;
     }
 
-    reaction take()
+    reaction react_to(const std::string& head)
     {
         const std::lock_guard lock{mutex_};
-        if (reactions_.empty()) {
-            return {};
-        }
-        reaction next = reactions_.front();
-        reactions_.pop_front();
-        return next;
+        return responder_.react(head);
     }
 
     asio::io_context context_;
     asio::ip::tcp::acceptor acceptor_{context_, {asio::ip::make_address("127.0.0.1"), 0}};
     std::mutex mutex_;
-    std::deque<reaction> reactions_;
+    responder responder_;
     std::atomic<bool> stopping_{false};
     std::atomic<int> requests_{0};
     std::atomic<int> accepted_{0};
