Daemon: a process that aborts leaves a structured line first

Names of events are overloads, one for each event, in names.cpp; reading the time of day stood three times and is one function.

--- a/daemon/central_metrics.cpp
+++ b/daemon/central_metrics.cpp
@@ -2,7 +2,6 @@
 /// Counts events and effects and measures latencies with Boost.Histogram.
 #include "central_metrics.h"
 
-#include <array>
 #include <sstream>
 #include <vector>
 
@@ -35,21 +34,6 @@
     out << "cuminmoor_" << name << "_ms_count " << all << '\n';
 }
 
-constexpr std::array event_names{"tick",
-                                 "stop_requested",
-                                 "caller_call",
-                                 "peer_call",
-                                 "peer_call_ended",
-                                 "rows_committed",
-                                 "rows_read",
-                                 "register_changed",
-                                 "operator_changed",
-                                 "control_changed",
-                                 "store_reachable",
-                                 "order_ended",
-                                 "hold_ended"};
-static_assert(event_names.size() == std::variant_size_v<central::event>);
-
 template <typename Map, typename Key>
 void record_duration(Map& start_times, const Key& key, instant now, ms_histogram& histogram)
 {
@@ -78,7 +62,7 @@
 
 void central_metrics::record(const central::event& e, instant now)
 {
-    increment(std::string{"event_"} + event_names.at(e.index()));
+    increment(std::string{"event_"} + central::name_of(e));
     if (const auto* const call = std::get_if<central::caller_call>(&e)) {
         call_arrived_at_.emplace(call->handle, now);
         record_call_taken(call->handle, call->kind, now);
--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -11,10 +11,12 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include "abort_report.h"
 #include "asio_http_client.h"
 #include "central_metrics.h"
 #include "central_peers.h"
 #include "central_ports.h"
+#include "cuminmoor/central/names.h"
 #include "event_queue.h"
 #include "lag_report.h"
 #include "line_log.h"
@@ -47,13 +49,6 @@
     return initial;
 }
 
-/// \return the time of day since the epoch.
-millis wall_time()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return {std::chrono::duration_cast<std::chrono::milliseconds>(now).count()};
-}
-
 class central_loop final : public central_event_sink {
 public:
     explicit central_loop(const settings& s)
@@ -147,6 +142,9 @@
 
     void process_event(const central::event& e)
     {
+        const central::lease_state& lease = state_.lease;
+        set_abort_context(
+            {central::name_of(lease.current_role), lease.term.value, central::name_of(e)});
         if (std::holds_alternative<central::tick>(e)) {
             record_lag(clock_.now());
         }
@@ -155,6 +153,7 @@
         for (const central::effect& each : out) {
             std::visit([this](const auto& x) { execute(x); }, each);
         }
+        set_abort_context({central::name_of(lease.current_role), lease.term.value, ""});
     }
 
     void execute(const central::peer_call& e)
--- a/daemon/line_log.cpp
+++ b/daemon/line_log.cpp
@@ -7,11 +7,11 @@
 
 #include <algorithm>
 #include <array>
-#include <ctime>
 #include <string_view>
 #include <utility>
 
 #include "logging.h"
+#include "system_clock.h"
 
 namespace cuminmoor::io {
 
@@ -19,16 +19,6 @@
 
 constexpr millis window_length{1'000};
 
-/// \return the time of day in ms since the epoch.
-std::int64_t wall_ms()
-{
-    timespec t{};
-    clock_gettime(CLOCK_REALTIME, &t);
-    constexpr std::int64_t ms_per_second{1'000};
-    constexpr std::int64_t ns_per_ms{1'000'000};
-    return std::int64_t{t.tv_sec} * ms_per_second + t.tv_nsec / ns_per_ms;
-}
-
 /// \return a lower bound of the bytes that event and fields take in a line; quotes and escapes add
 /// to it.
 std::size_t min_line_bytes(const std::string& event, const std::vector<log_field>& fields)
@@ -115,7 +105,7 @@
         count_dropped(is_routine);
         return;
     }
-    std::string line = "t=" + std::to_string(wall_ms()) + " " + format_event(event, fields);
+    std::string line = "t=" + std::to_string(wall_time().count) + " " + format_event(event, fields);
     line += suffix_;
     line += '\n';
     if (!fits(line.size(), is_routine)) {
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,5 +1,7 @@
 /// \file
 /// Entry point of cuminmoord: parses the settings, handles signals and runs the daemon.
+#include <unistd.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -11,6 +13,7 @@
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
 
+#include "abort_report.h"
 #include "central_process.h"
 #include "daemon.h"
 #include "logging.h"
@@ -44,6 +47,7 @@
 {
     io::start_logging("cuminmoord", s.min_log_level);
     io::set_log_identity({s.vm.value, s.failure_domain.value});
+    io::report_aborts(STDERR_FILENO, s.vm.value, s.failure_domain.value);
     asio::io_context context{1};
     asio::signal_set signals{context, SIGTERM, SIGINT};
     io::daemon_process daemon{s};
@@ -64,6 +68,7 @@
 int serve_central(const io::settings& s)
 {
     io::start_logging("cuminmoord", s.min_log_level);
+    io::report_aborts(STDOUT_FILENO, s.vm.value, s.failure_domain.value);
     if (const auto ended = io::run_central_process(s); !ended.ok()) {
         std::cerr << ended.message() << '\n';
         return EXIT_FAILURE;
--- a/include/cuminmoor/central/names.h
+++ b/include/cuminmoor/central/names.h
@@ -13,5 +13,6 @@
 const char* name_of(order_result result);
 const char* name_of(store_outcome outcome);
 const char* name_of(role r);
+const char* name_of(const event& e);
 
 } // namespace cuminmoor::central
--- a/src/central/names.cpp
+++ b/src/central/names.cpp
@@ -122,4 +122,30 @@
     return "";
 }
 
+namespace {
+
+/// An overload for each event: one without a name does not compile.
+struct event_name {
+    const char* operator()(const tick& /*e*/) const { return "tick"; }
+    const char* operator()(const stop_requested& /*e*/) const { return "stop_requested"; }
+    const char* operator()(const caller_call& /*e*/) const { return "caller_call"; }
+    const char* operator()(const peer_call_received& /*e*/) const { return "peer_call"; }
+    const char* operator()(const peer_call_ended& /*e*/) const { return "peer_call_ended"; }
+    const char* operator()(const rows_committed& /*e*/) const { return "rows_committed"; }
+    const char* operator()(const rows_read_done& /*e*/) const { return "rows_read"; }
+    const char* operator()(const registry_changed& /*e*/) const { return "register_changed"; }
+    const char* operator()(const operator_changed& /*e*/) const { return "operator_changed"; }
+    const char* operator()(const control_changed& /*e*/) const { return "control_changed"; }
+    const char* operator()(const store_reachable& /*e*/) const { return "store_reachable"; }
+    const char* operator()(const runner_order_ended& /*e*/) const { return "order_ended"; }
+    const char* operator()(const runner_hold_ended& /*e*/) const { return "hold_ended"; }
+};
+
+} // namespace
+
+const char* name_of(const event& e)
+{
+    return std::visit(event_name{}, e);
+}
+
 } // namespace cuminmoor::central
