Release: no lease is extended once the row that releases the lease was sent (TWICE)

Cause: a holder whose release was stored but not answered went on extending leases, up to 4 s after SIGTERM, although its row says that it granted the last; a successor that could not reach such a runner started its tasks a second time.

The random history of test_central_abrupt_ends now also cuts a VM off while it releases, and lets only one VM reach a runner.

Also from the review, by reading, without tests of their own: what the holder before told of a runner is dropped at its first report, as runs started since are not in it; a runner that registers again under its id is not used while the row still tells of it; tasks that this holder does not know stay in the list; rows of a claim carry no suspects; a lost or found runner wakes the loop only when a row can be sent.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -473,6 +473,8 @@
     bool renewal_in_flight{false};
     /// The commit in flight releases the lease.
     bool release_in_flight{false};
+    /// Runners of which the row tells, as it may be stored now.
+    std::set<runner_id> runners_in_row;
     /// When a row should be sent because runners were lost or found since the last one.
     instant handover_due{never};
     /// Number of the newest commit of the lease row; answers to earlier commits are ignored.
--- a/src/central/handover.cpp
+++ b/src/central/handover.cpp
@@ -39,7 +39,8 @@
     std::vector<graph_task_id> tasks;
     const auto add_if_service = [&](const graph_task_id& id) {
         const task_ref ref = find_task(c.s, id);
-        if (ref && ref.step->is_service) {
+        // The successor may know a task that is unknown here.
+        if (!ref || ref.step->is_service) {
             tasks.push_back(id);
         }
     };
@@ -65,7 +66,15 @@
     return !r.is_responsive && !is_unknown;
 }
 
-unreported_runner unreported_runner_of(const context& c, const runner_record& r, bool released)
+/// See `unreported_runner::suspects`.
+void drop_suspects(handover& h)
+{
+    for (unreported_runner& each : h.runners) {
+        each.suspects.clear();
+    }
+}
+
+unreported_runner unreported_runner_of(const context& c, const runner_record& r)
 {
     unreported_runner u;
     if (!r.may_run_unreported) {
@@ -75,9 +84,6 @@
     else if (r.handed_over) {
         u = *r.handed_over;
     }
-    if (!released) {
-        u.suspects.clear();
-    }
     u.runner = r.entry.id;
     u.leases_end_within = time_until(c.now, r.leases_expire_by);
     return u;
@@ -118,16 +124,23 @@
 handover make_handover(const context& c, bool released)
 {
     if (c.s.lease.current_role != role::scheduler) {
-        // This holder has granted no lease.
-        return predecessors_handover(c);
+        // This VM has granted no lease in this term.
+        handover h = predecessors_handover(c);
+        if (!released) {
+            drop_suspects(h);
+        }
+        return h;
     }
     handover h;
     h.leases_end_within = longest_lease(c.s);
     for (const auto& [id, r] : c.s.scheduler.runners) {
         if (is_unreported(r, released)) {
-            h.runners.push_back(unreported_runner_of(c, r, released));
+            h.runners.push_back(unreported_runner_of(c, r));
         }
     }
+    if (!released) {
+        drop_suspects(h);
+    }
     return h;
 }
 
@@ -138,6 +151,7 @@
         return;
     }
     for (const unreported_runner& each : row.handed_over->runners) {
+        c.s.lease.runners_in_row.insert(each.runner);
         const auto found = c.s.scheduler.runners.find(each.runner);
         if (found != c.s.scheduler.runners.end()) {
             found->second.is_handed_over = true;
@@ -147,14 +161,15 @@
 
 void end_old_handovers(const context& c, const lease_row& stored)
 {
-    std::set<runner_id> handed_over;
+    std::set<runner_id>& in_row = c.s.lease.runners_in_row;
+    in_row.clear();
     if (stored.handed_over) {
         for (const unreported_runner& each : stored.handed_over->runners) {
-            handed_over.insert(each.runner);
+            in_row.insert(each.runner);
         }
     }
     for (auto& [id, r] : c.s.scheduler.runners) {
-        if (!r.is_handed_over || handed_over.contains(id)) {
+        if (!r.is_handed_over || in_row.contains(id)) {
             continue;
         }
         r.is_handed_over = false;
@@ -174,7 +189,9 @@
     const millis interval =
         r.is_responsive ? config::renewal_after_find : config::renewal_after_loss;
     l.handover_due = std::min(l.handover_due, l.renewal_sent_at + interval);
-    c.wake_by(l.handover_due);
+    if (!l.renewal_in_flight) {
+        c.wake_by(std::max(l.handover_due, l.retry_at));
+    }
 }
 
 void begin_recovery(const context& c)
--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -157,6 +157,7 @@
     }
     l.version = e.version;
     l.row = l.row_in_flight;
+    end_old_handovers(c, *l.row);
     l.seen_at = c.now;
     l.renewed_at = l.renewal_sent_at;
     // `retry_at` was set to the timeout of the claim, which is as long as the lease and would delay
@@ -219,6 +220,9 @@
             l.retry_at = c.now;
             renew_when_due(c);
         }
+        else {
+            c.wake_by(l.handover_due);
+        }
         return;
     }
     l.retry_at = c.now + config::lease_retry;
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -41,6 +41,12 @@
     return std::min(c.now, r.report_clock->seen_at + passed * 100 / config::slow_clock_percent);
 }
 
+/// \return true if a row that releases the lease was sent: it says that no more leases are granted.
+bool may_be_released(const lease_state& l)
+{
+    return l.releasing && l.release_in_flight;
+}
+
 void send_hold(const context& c, runner_record& r)
 {
     const bool waits_for_store = r.acknowledged < r.last_processed_end;
@@ -50,7 +56,8 @@
     // After a failed hold, only ask for a report. Extending leases would postpone their computed
     // expiry although the runner may be gone, and a restarted runner numbers its ends from 1 again,
     // so an old acknowledgement would match new ends.
-    const bool may_extend = has_current_clock && may_send_orders(c) && !r.is_handed_over;
+    const bool may_extend =
+        has_current_clock && may_send_orders(c) && !may_be_released(c.s.lease) && !r.is_handed_over;
     const auto until = may_extend ? grant_lease(c, r) : std::nullopt;
     const bool is_new_acknowledgement =
         has_current_clock && r.acknowledged > r.acknowledgement_delivered;
@@ -147,6 +154,8 @@
         }
     }
     r.may_run_unreported = r.may_run_unreported && e.has_more_ends;
+    // From now on this holder starts runs there that the holder before did not know.
+    r.handed_over.reset();
     process_reported_runs(c, r, e);
     learn_disturbance(c, r);
     update_expected_disturbance(c, r);
@@ -264,6 +273,7 @@
         r.last_offer.reset();
         if (is_new) {
             r.latency_rise_budget = config::initial_latency_rise_budget;
+            r.is_handed_over = c.s.lease.runners_in_row.contains(entry.id);
             s.commits.runners_to_add.push_back(entry.id);
         }
         if (entry.draining && !was_draining) {
--- a/tests/test_central_abrupt_ends.cpp
+++ b/tests/test_central_abrupt_ends.cpp
@@ -19,7 +19,7 @@
 /// Time after the first end at which recovery from it may not have ended yet.
 constexpr millis until_next_end{4'500};
 
-enum class abrupt_end : std::uint8_t { killed, frozen, without_store };
+enum class abrupt_end : std::uint8_t { killed, frozen, without_store, while_releasing };
 
 /// \param frozen_for only if it freezes.
 void end_abruptly(service_fixture& f, std::size_t vm, abrupt_end how, millis frozen_for)
@@ -34,6 +34,21 @@
     case abrupt_end::without_store:
         f.w.faults.vms_without_store.insert(vm);
         break;
+    case abrupt_end::while_releasing:
+        f.w.stop_gracefully(vm);
+        f.w.run_for({3});
+        f.w.faults.vms_without_store.insert(vm);
+        break;
+    }
+}
+
+/// Lets only one VM reach a runner.
+void cut_off_from_others(service_fixture& f, std::size_t runner, std::size_t vm)
+{
+    for (std::size_t other{0}; other < service_fixture::vms; ++other) {
+        if (other != vm) {
+            f.w.faults.unreachable_runner_paths.insert({other, runner});
+        }
     }
 }
 
@@ -108,13 +123,15 @@
             f.w.faults.late_commits = draw(4) == 0 ? 0.2 : 0;
             const auto vm = f.w.scheduler();
             if (vm) {
-                end_abruptly(f, *vm, static_cast<abrupt_end>(draw(3)), draw_time(6'000));
+                cut_off_from_others(f, draw(service_fixture::runners), *vm);
+                end_abruptly(f, *vm, static_cast<abrupt_end>(draw(4)), draw_time(6'000));
             }
-            f.w.run_for(draw_time(6'000));
-            if (vm && !f.w.is_up(*vm)) {
+            f.w.run_for(draw_time(12'000));
+            if (vm) {
                 f.w.restart(*vm);
             }
             f.w.faults.vms_without_store.clear();
+            f.w.faults.unreachable_runner_paths.clear();
         }
         f.w.faults = {};
         f.w.run_for({15'000});
