Names: a name missing for an enumerator no longer compiles

Cause: tables of names beside an enum could fall out of step with it: an .at() that throws, or a silent fallback.

Change: the names come from switches without a default, so -Wswitch rejects an enumerator without a name. Look-ups of text and the size of by_phase go through these functions (cuminmoor/enumerators.h). The names are unchanged. Only for a value that is no enumerator, a release cause now gives "" instead of "evicted", and claim status, table, job state and log level "" instead of an exception.

--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -14,6 +14,7 @@
 #include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_replace.h"
+#include "cuminmoor/enumerators.h"
 #include "cuminmoor/json_reader.h"
 
 namespace cuminmoor::io {
@@ -56,16 +57,18 @@
     setting{"link-mbit", "1000", "central: bandwidth of this VM's link in Mbit/s, above 0"},
 };
 
-struct level_name {
-    const char* name;
-    log_level level;
-};
-
-constexpr std::array level_names{
-    level_name{"info", log_level::info},
-    level_name{"warning", log_level::warning},
-    level_name{"error", log_level::error},
-};
+const char* name_of(log_level level)
+{
+    switch (level) {
+    case log_level::info:
+        return "info";
+    case log_level::warning:
+        return "warning";
+    case log_level::error:
+        return "error";
+    }
+    return "";
+}
 
 std::string environment_name(const char* setting_name)
 {
@@ -181,10 +184,8 @@
     log_level level(const setting& s)
     {
         const std::string text = value(s);
-        for (const level_name& known : level_names) {
-            if (text == known.name) {
-                return known.level;
-            }
+        if (const auto found = find_enumerator<log_level>(text, name_of)) {
+            return *found;
         }
         add_error(std::string{"--"} + s.name + ": \"" + text + "\" must be info, warning or error");
         return log_level::info;
@@ -277,7 +278,7 @@
     out << "vm=" << s.vm.value << "\nfailure-domain=" << s.failure_domain.value
         << "\nhttp-address=" << to_string(s.http) << "\npeer-address=" << to_string(s.peer)
         << "\nplatform=" << s.platform << "\ntraffic-threads=" << s.traffic_threads
-        << "\nlog-level=" << level_names.at(static_cast<std::size_t>(s.min_log_level)).name << "\n";
+        << "\nlog-level=" << name_of(s.min_log_level) << "\n";
     if (s.scheduling == scheduling_mode::central) {
         out << "scheduling=central\nreadiness-address=" << to_string(s.readiness)
             << "\nmax-hold-ms=" << s.max_hold.count
--- a/include/cuminmoor/job.h
+++ b/include/cuminmoor/job.h
@@ -18,6 +18,7 @@
 
 #include "absl/status/statusor.h"
 #include "cuminmoor/clock.h"
+#include "cuminmoor/enumerators.h"
 #include "cuminmoor/ids.h"
 #include "cuminmoor/units.h"
 
@@ -75,6 +76,28 @@
 
 enum class task_phase : std::uint8_t { waiting, assigned, finished, failed, cancelled, moved };
 
+/// \return the name in stored rows; empty for a value that is no enumerator.
+constexpr const char* name_of(task_phase phase)
+{
+    switch (phase) {
+    case task_phase::waiting:
+        return "waiting";
+    case task_phase::assigned:
+        return "assigned";
+    case task_phase::finished:
+        return "finished";
+    case task_phase::failed:
+        return "failed";
+    case task_phase::cancelled:
+        return "cancelled";
+    case task_phase::moved:
+        return "moved";
+    }
+    return "";
+}
+
+inline constexpr std::size_t task_phase_count{count_enumerators<task_phase>(name_of)};
+
 /// State of one task in the ledger.
 struct task_entry {
     task_phase phase{task_phase::waiting};
@@ -91,7 +114,7 @@
 
 /// Number of tasks in each phase.
 struct task_totals {
-    std::array<std::uint32_t, 6> by_phase{};
+    std::array<std::uint32_t, task_phase_count> by_phase{};
 
     [[nodiscard]] std::uint32_t in(task_phase p) const
     {
--- a/src/claim.cpp
+++ b/src/claim.cpp
@@ -2,10 +2,8 @@
 /// Claim row encoding: a JSON object with the answer body in Base64.
 #include "cuminmoor/claim.h"
 
-#include <algorithm>
-#include <array>
-
 #include "absl/strings/escaping.h"
+#include "cuminmoor/enumerators.h"
 #include "nlohmann/json.hpp"
 #include "stable_hash.h"
 
@@ -15,7 +13,20 @@
 
 using json = nlohmann::json;
 
-constexpr std::array<const char*, 4> status_names{"open", "done", "answer_too_large", "unknown"};
+const char* name_of(claim_status status)
+{
+    switch (status) {
+    case claim_status::open:
+        return "open";
+    case claim_status::done:
+        return "done";
+    case claim_status::answer_too_large:
+        return "answer_too_large";
+    case claim_status::unknown:
+        return "unknown";
+    }
+    return "";
+}
 
 /// Percent-encodes `%` and `/`; all other characters are kept.
 std::string escape(const std::string& text)
@@ -62,11 +73,11 @@
 
 absl::StatusOr<claim_status> parse_status(const std::string& name)
 {
-    const auto* const found = std::find(status_names.begin(), status_names.end(), name);
-    if (found == status_names.end()) {
+    const auto found = find_enumerator<claim_status>(name, name_of);
+    if (!found) {
         return absl::InvalidArgumentError("claim row: unknown status " + name);
     }
-    return static_cast<claim_status>(found - status_names.begin());
+    return *found;
 }
 
 } // namespace
@@ -86,7 +97,7 @@
     return json{{"nonce", record.written_by.value},
                 {"service", record.service.value},
                 {"body_hash", record.body_hash},
-                {"status", status_names.at(static_cast<std::size_t>(record.status))},
+                {"status", name_of(record.status)},
                 {"http_status", static_cast<unsigned>(record.http_status)},
                 {"body", absl::Base64Escape(record.body)}}
         .dump(-1, ' ', false, json::error_handler_t::replace);
--- a/src/commands_jobs.cpp
+++ b/src/commands_jobs.cpp
@@ -1,7 +1,6 @@
 /// \file
 /// Commands that show, list and cancel jobs.
 #include <algorithm>
-#include <array>
 #include <map>
 #include <set>
 
@@ -52,23 +51,50 @@
     return jobs;
 }
 
+/// \return the external name; empty if the phase is not shown to users.
+const char* shown_name(task_phase phase)
+{
+    switch (phase) {
+    case task_phase::waiting:
+        return "waiting";
+    case task_phase::assigned:
+        return "running";
+    case task_phase::finished:
+        return "finished";
+    case task_phase::failed:
+        return "failed";
+    case task_phase::cancelled:
+        return "cancelled";
+    case task_phase::moved:
+        return "";
+    }
+    return "";
+}
+
 /// Task phases shown to users, with their external names.
-constexpr std::array shown_phases{
-    std::pair{task_phase::waiting, "waiting"},     std::pair{task_phase::assigned, "running"},
-    std::pair{task_phase::finished, "finished"},   std::pair{task_phase::failed, "failed"},
-    std::pair{task_phase::cancelled, "cancelled"},
-};
+std::vector<std::pair<task_phase, std::string>> shown_phases()
+{
+    std::vector<std::pair<task_phase, std::string>> shown;
+    for (std::size_t i = 0; i < task_phase_count; ++i) {
+        const auto phase = static_cast<task_phase>(i);
+        const std::string name = shown_name(phase);
+        if (!name.empty()) {
+            shown.emplace_back(phase, name);
+        }
+    }
+    return shown;
+}
 
 void write_totals(json& view, const task_totals& t)
 {
-    for (const auto& [phase, name] : shown_phases) {
+    for (const auto& [phase, name] : shown_phases()) {
         view[name] = t.in(phase);
     }
 }
 
 void add_totals(task_totals& sum, const task_totals& t)
 {
-    for (const auto& [phase, name] : shown_phases) {
+    for (const auto& [phase, name] : shown_phases()) {
         sum.in(phase) += t.in(phase);
     }
 }
--- a/src/configuration.cpp
+++ b/src/configuration.cpp
@@ -2,20 +2,27 @@
 /// Applying configuration changes; preset names and row keys.
 #include "cuminmoor/configuration.h"
 
-#include <array>
-#include <utility>
-
 #include "absl/strings/str_format.h"
 #include "context.h"
+#include "cuminmoor/enumerators.h"
 #include "cuminmoor/status.h"
 
 namespace cuminmoor {
 
 namespace {
 
-constexpr std::array preset_names{std::pair{preset::ordinary, "ordinary"},
-                                  std::pair{preset::peak, "peak"},
-                                  std::pair{preset::maintenance, "maintenance"}};
+const char* preset_name(preset p)
+{
+    switch (p) {
+    case preset::ordinary:
+        return "ordinary";
+    case preset::peak:
+        return "peak";
+    case preset::maintenance:
+        return "maintenance";
+    }
+    return "";
+}
 
 void apply(configuration& current, const configuration_change& change)
 {
@@ -44,22 +51,18 @@
 
 std::string name_of(preset p)
 {
-    for (const auto& [value, name] : preset_names) {
-        if (value == p) {
-            return name;
-        }
-    }
-    return "unknown";
+    const std::string name = preset_name(p);
+    return name.empty() ? "unknown" : name;
 }
 
 absl::StatusOr<preset> parse_preset(const std::string& name)
 {
+    if (const auto found = find_enumerator<preset>(name, preset_name)) {
+        return *found;
+    }
     std::string known;
-    for (const auto& [value, known_name] : preset_names) {
-        if (name == known_name) {
-            return value;
-        }
-        known += (known.empty() ? "" : ", ") + std::string{known_name};
+    for (std::size_t i = 0; i < count_enumerators<preset>(preset_name); ++i) {
+        known += (known.empty() ? "" : ", ") + std::string{preset_name(static_cast<preset>(i))};
     }
     return unknown_preset_error("preset '" + name + "' is not known; use one of " + known);
 }
--- a/src/records.cpp
+++ b/src/records.cpp
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "cuminmoor/config.h"
+#include "cuminmoor/enumerators.h"
 #include "cuminmoor/json_units.h"
 #include "cuminmoor/status.h"
 #include "records_json.h"
@@ -14,23 +15,6 @@
 
 using nlohmann::json;
 
-struct cause_name {
-    release_cause cause;
-    const char* name;
-};
-
-constexpr std::array cause_names{
-    cause_name{release_cause::never_started, "never_started"},
-    cause_name{release_cause::evicted, "evicted"},
-    cause_name{release_cause::failed, "failed"},
-    cause_name{release_cause::lapsed, "lapsed"},
-    cause_name{release_cause::worker_restarted, "worker_restarted"},
-    cause_name{release_cause::worker_gone, "worker_gone"},
-    cause_name{release_cause::cancelled, "cancelled"},
-    cause_name{release_cause::domain_out, "domain_out"},
-    cause_name{release_cause::service_ended, "service_ended"},
-};
-
 json attempt_to_json(const char* kind, const task_id& task, std::uint32_t attempt)
 {
     return {{"k", kind}, {"job", task.job.value}, {"task", task.index}, {"attempt", attempt}};
@@ -218,24 +202,39 @@
 
 const char* name_of(release_cause cause)
 {
-    const auto* const found =
-        std::find_if(cause_names.begin(), cause_names.end(),
-                     [cause](const cause_name& row) { return row.cause == cause; });
-    return found == cause_names.end() ? "evicted" : found->name;
+    switch (cause) {
+    case release_cause::never_started:
+        return "never_started";
+    case release_cause::evicted:
+        return "evicted";
+    case release_cause::failed:
+        return "failed";
+    case release_cause::lapsed:
+        return "lapsed";
+    case release_cause::worker_restarted:
+        return "worker_restarted";
+    case release_cause::worker_gone:
+        return "worker_gone";
+    case release_cause::cancelled:
+        return "cancelled";
+    case release_cause::domain_out:
+        return "domain_out";
+    case release_cause::service_ended:
+        return "service_ended";
+    }
+    return "";
 }
 
 void read_cause(json_reader& r, const char* field, release_cause& out)
 {
     std::string name;
     r.name(field, name);
-    const auto* const found =
-        std::find_if(cause_names.begin(), cause_names.end(),
-                     [&name](const cause_name& row) { return name == row.name; });
-    if (found == cause_names.end()) {
+    const auto found = find_enumerator<release_cause>(name, name_of);
+    if (!found) {
         r.fail(out_of_range_error(std::string{"field '"} + field + "' is not a release cause"));
         return;
     }
-    out = found->cause;
+    out = *found;
 }
 
 std::string encode_records(const std::vector<ledger_record>& records)
--- a/src/records_inbox.cpp
+++ b/src/records_inbox.cpp
@@ -12,9 +12,6 @@
 
 using nlohmann::json;
 
-constexpr std::array<const char*, 6> phase_names{"waiting", "assigned",  "finished",
-                                                 "failed",  "cancelled", "moved"};
-
 std::string inbox_prefix(const failure_domain_id& fd, const char* kind)
 {
     return absl::StrCat("fd/", fd.value, "/inbox/", kind, "/");
@@ -27,8 +24,8 @@
         return;
     }
     json_reader totals{*value, "job summary: field totals"};
-    for (std::size_t i = 0; i < phase_names.size(); ++i) {
-        totals.number(phase_names.at(i), out.by_phase.at(i), u32_range);
+    for (std::size_t i = 0; i < task_phase_count; ++i) {
+        totals.number(name_of(static_cast<task_phase>(i)), out.by_phase.at(i), u32_range);
     }
     r.fail(totals.finish_lenient());
 }
@@ -159,8 +156,8 @@
 std::string encode_job_summary(const job_summary& summary)
 {
     json totals = json::object();
-    for (std::size_t i = 0; i < phase_names.size(); ++i) {
-        totals[phase_names.at(i)] = summary.totals.by_phase.at(i);
+    for (std::size_t i = 0; i < task_phase_count; ++i) {
+        totals[name_of(static_cast<task_phase>(i))] = summary.totals.by_phase.at(i);
     }
     const json body{{"job", summary.job.value},
                     {"failure_domain", summary.failure_domain.value},
--- a/src/records_json.h
+++ b/src/records_json.h
@@ -24,6 +24,7 @@
 /// Reads a required field that holds resources.
 void read_size(json_reader& r, const char* field, resources& out);
 
+/// \return the name; empty for a value that is no enumerator.
 const char* name_of(release_cause cause);
 /// Reads a release cause from its name.
 void read_cause(json_reader& r, const char* field, release_cause& out);
