--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -46,7 +46,7 @@
 // ---- Jobs ----------------------------------------------------------------------------------
 
 enum class run_phase : std::uint8_t {
-    /// The start is ordered and not confirmed yet.
+    /// The start is due or ordered, and not confirmed yet.
     starting,
     running,
     /// A stop is due, ordered or confirmed; the run has not certainly ended yet.
@@ -81,6 +81,8 @@
     run_number number;
     run_phase phase{run_phase::starting};
     instant ordered_at;
+    /// The start is ordered once the store has its place, see `task_record::placed_on`.
+    bool awaits_store{false};
     /// The start order has not been answered.
     bool start_in_flight{false};
     /// The runner may have restarted since the start order, so that a positive answer does not
@@ -135,6 +137,9 @@
     crash_counts crashes;
     /// Highest run number assigned or reported.
     run_number last_run;
+    /// Of a service task: the only runner on which it can run; empty: none. It is in the store
+    /// before the start is ordered, so that a later holder of the lease knows whom to ask.
+    runner_id placed_on;
     std::string checkpoint;
     /// No unreported run of an earlier term can remain: a runner reported it running in this term,
     /// it was started in this term, or it could not have been started before.
@@ -289,13 +294,11 @@
     bool operator==(const runner_offer&) const = default;
 };
 
-/// A runner whose runs the next holder of the lease may not learn from its reports.
+/// A runner that does not answer, so that the next holder of the lease may not learn of its runs.
 struct unreported_runner {
     runner_id runner;
     /// Time until all leases on it have expired.
     millis leases_end_within;
-    /// Service tasks that may run there; not set: any.
-    std::optional<std::vector<graph_task_id>> tasks;
     /// Tasks for which it counts if the runner has crashed, and whether it is attributed to them;
     /// see crashes.cpp. Only in the row of a released lease: a holder that goes on counts itself.
     std::vector<graph_task_id> suspects;
@@ -314,12 +317,9 @@
     bool is_fenced{false};
     /// It may have runs of earlier terms that are not known here: no report of this term has listed
     /// all its runs and ends, and their leases may be valid.
-    bool may_run_unreported{false};
-    /// What the holder before handed over about it; of use while `may_run_unreported`.
-    std::optional<unreported_runner> handed_over;
-    /// The lease row, as it may be stored, tells what may run there. So nothing is started there,
-    /// and leases are not extended, until a row without it is certainly stored.
-    bool is_handed_over{false};
+    bool has_unreported_runs{false};
+    /// What the holder before handed over about it; of use while `has_unreported_runs`.
+    std::optional<unreported_runner> told_by_predecessor;
     /// A service there missed its target in the last report, or nearly so.
     bool is_disturbed{false};
     /// All leftover tasks are paused, as a service misses its target for too long or may do so.
@@ -417,13 +417,20 @@
 
 // ---- Store ---------------------------------------------------------------------------------
 
-/// What a holder of the lease knows of the leases that it and earlier holders granted.
+/// What a holder of the lease knows of the leases that it and earlier holders granted to runs.
+///
+/// Its times only shrink from one row to the next, whoever writes it, except for runners on which
+/// the holder grants leases of its own.
 struct handover {
-    /// Runners that did not answer it, or are about to leave.
+    /// Runners that do not answer it. It grants no lease there while a row with them may be stored.
     std::vector<unreported_runner> runners;
-    /// Time until the leases on all other runners have expired. Of use only if the lease was
-    /// released: otherwise the holder may go on granting.
-    millis leases_end_within;
+    /// Time until the leases that earlier holders granted on all other runners have expired.
+    millis earlier_leases_end_within;
+    /// The holder may grant leases on all other runners.
+    bool may_grant{false};
+    /// The store has the place of each service run, see `task_record::placed_on`. Not so while runs
+    /// may be left that a process of an earlier version has started.
+    bool places_known{false};
 };
 
 /// Row of the scheduler's lease.
@@ -435,8 +442,9 @@
     /// The holder released the lease: it may be claimed without waiting for its expiry.
     bool released{false};
     /// The holder has completed its recovery: no run lease of an earlier holder is valid any more.
+    /// Read only by processes that do not know `handed_over`.
     bool recovered{false};
-    /// Not set if it does not fit into the row.
+    /// Not set in rows of processes of an earlier version.
     std::optional<handover> handed_over;
 };
 
@@ -463,7 +471,7 @@
     /// count from then.
     instant predecessor_seen_at;
     handover predecessor;
-    /// When the leases of earlier holders have expired, whatever was handed over.
+    /// When the leases of earlier holders have expired on runners that were not handed over.
     instant predecessor_leases_end;
     /// The last row that was sent.
     lease_row row_in_flight;
@@ -473,10 +481,13 @@
     bool renewal_in_flight{false};
     /// The commit in flight releases the lease.
     bool release_in_flight{false};
-    /// Runners of which the row tells, as it may be stored now.
+    /// Runners in the rows that may be stored now, see `handover::runners`.
     std::set<runner_id> runners_in_row;
-    /// When a row should be sent because runners were lost or found since the last one.
-    instant handover_due{never};
+    /// A row with `handover::may_grant` is certainly stored.
+    bool may_grant{false};
+    /// When a row should be sent although the last one is recent: runners were lost or found since,
+    /// or leases of a lost runner have expired.
+    instant early_renewal_at{never};
     /// Number of the newest commit of the lease row; answers to earlier commits are ignored.
     std::uint64_t last_commit{0};
     instant retry_at;
@@ -571,15 +582,6 @@
     table_scan disturbance;
 };
 
-/// Tasks that may have runs of earlier terms that no runner has reported.
-struct unreported_runs {
-    bool any_task{true};
-    /// Empty if `any_task`.
-    std::set<graph_task_id> tasks;
-
-    bool operator==(const unreported_runs&) const = default;
-};
-
 /// State of the scheduler; empty unless this VM holds the lease.
 struct scheduler_state {
     std::unordered_map<job_id, job_record, id_hash> jobs;
@@ -596,9 +598,14 @@
     /// Recovery after a takeover ends when all runners have answered, at the end of the
     /// predecessors' leases at the latest, but not before those that answer have listed all their
     /// ends. Until then tasks of recovered jobs do not start unless they are reconciled, but for
-    /// services that cannot run unreported.
+    /// services that were placed on no runner or on one without unreported runs.
     bool recovering{false};
-    unreported_runs unreported;
+    /// See `handover::places_known`.
+    bool places_known{false};
+    /// Contains the service tasks whose run has `awaits_store`, each with the number of the change
+    /// that has its place, see `commit_state::stored_change`; other entries are dropped when that
+    /// is stored.
+    std::map<graph_task_id, std::uint64_t> unstored_places;
     /// Occurrences that are not due yet: due time on the wall clock, job, and index of the
     /// occurrence.
     std::set<std::tuple<std::int64_t, job_id, std::uint32_t>> future_occurrences;
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -119,19 +119,26 @@
 template <typename Archive>
 void serialize(Archive& archive, unreported_runner& r)
 {
-    archive(r.runner, r.leases_end_within, r.tasks, r.suspects, r.is_attributed);
+    archive(r.runner, r.leases_end_within, r.suspects, r.is_attributed);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, handover& h)
 {
-    archive(h.runners, h.leases_end_within);
+    archive(h.runners, h.earlier_leases_end_within, h.may_grant, h.places_known);
 }
 
+/// Processes of an earlier version expect a handover in another format, which is never set.
 template <typename Archive>
 void serialize(Archive& archive, lease_row& r)
 {
-    archive(r.holder, r.address, r.incarnation, r.term, r.released, r.recovered, r.handed_over);
+    bool lacks_earlier_handover{true};
+    archive(r.holder, r.address, r.incarnation, r.term, r.released, r.recovered,
+            lacks_earlier_handover);
+    if (!lacks_earlier_handover) {
+        throw cereal::Exception{"the handover is in an earlier format"};
+    }
+    archive(r.handed_over);
 }
 
 /// A lease row as it was written before `handed_over` was added.
@@ -208,11 +215,34 @@
             c.counts.attributed, c.counts.has_open_run);
 }
 
-/// Processes that do not know `crashes` read what precedes it and ignore the rest of the row.
+template <typename Archive>
+void serialize(Archive& archive, task_position& p)
+{
+    archive(p.occurrence, p.step, p.index);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, stored_place& p)
+{
+    archive(p.runner, p.tasks);
+}
+
+/// Processes of earlier versions read what they know and ignore the rest of the row.
 template <typename Archive>
 void serialize(Archive& archive, stored_progress& p)
 {
-    archive(p.state, p.occurrences, p.crashes);
+    archive(p.state, p.occurrences, p.crashes, p.places);
+}
+
+/// Progress as it was written before `places` was added.
+struct progress_without_places {
+    stored_progress progress;
+};
+
+template <typename Archive>
+void serialize(Archive& archive, progress_without_places& p)
+{
+    archive(p.progress.state, p.progress.occurrences, p.progress.crashes);
 }
 
 /// Progress as it was written before `crashes` was added.
@@ -291,21 +321,28 @@
     return state <= job_state::cancelled;
 }
 
-std::vector<stored_crashes> crashes_of(const std::vector<occurrence_record>& occurrences)
+/// Adds the crash counts of suspects and the places of service runs to the row.
+void add_crashes_and_places(stored_progress& progress,
+                            const std::vector<occurrence_record>& occurrences)
 {
-    std::vector<stored_crashes> crashes;
+    std::map<runner_id, std::vector<task_position>> places;
     for (std::uint32_t k{0}; k < occurrences.size(); ++k) {
         const auto& steps = occurrences[k].steps;
         for (std::uint32_t step{0}; step < steps.size(); ++step) {
             const auto& tasks = steps[step].tasks;
             for (std::uint32_t i{0}; i < tasks.size(); ++i) {
                 if (tasks[i].crashes.is_suspect) {
-                    crashes.push_back({k, step, i, tasks[i].crashes});
+                    progress.crashes.push_back({k, step, i, tasks[i].crashes});
+                }
+                if (!tasks[i].placed_on.value.empty()) {
+                    places[tasks[i].placed_on].push_back({k, step, i});
                 }
             }
         }
     }
-    return crashes;
+    for (auto& [runner, tasks] : places) {
+        progress.places.push_back({runner, std::move(tasks)});
+    }
 }
 
 /// Leaves out the tasks of finished steps and the steps of finished occurrences.
@@ -323,17 +360,49 @@
     }
 }
 
-/// \return the task that the counts belong to, or null.
-task_record* find_crashed_task(stored_progress& progress, const stored_crashes& c)
+/// \return the task at a position, or null.
+task_record* find_task_at(stored_progress& progress, const task_position& at)
 {
-    if (c.occurrence >= progress.occurrences.size()) {
+    if (at.occurrence >= progress.occurrences.size()) {
         return nullptr;
     }
-    auto& steps = progress.occurrences[c.occurrence].steps;
-    if (c.step >= steps.size() || c.index >= steps[c.step].tasks.size()) {
+    auto& steps = progress.occurrences[at.occurrence].steps;
+    if (at.step >= steps.size() || at.index >= steps[at.step].tasks.size()) {
         return nullptr;
     }
-    return &steps[c.step].tasks[c.index];
+    return &steps[at.step].tasks[at.index];
+}
+
+/// Copies the crash counts and the places to the tasks that they belong to.
+void apply_crashes_and_places(stored_progress& progress)
+{
+    for (const stored_crashes& each : progress.crashes) {
+        const task_position at{each.occurrence, each.step, each.index};
+        if (task_record* const task = find_task_at(progress, at)) {
+            task->crashes = each.counts;
+        }
+    }
+    for (const stored_place& place : progress.places) {
+        for (const task_position& at : place.tasks) {
+            if (task_record* const task = find_task_at(progress, at)) {
+                task->placed_on = place.runner;
+            }
+        }
+    }
+}
+
+/// Decodes progress that was written before some parts were added.
+template <typename EarlierProgress>
+absl::StatusOr<stored_progress> decode_earlier_progress(const std::string& text)
+{
+    auto earlier = decode<EarlierProgress>(text, "job progress");
+    if (!earlier.ok()) {
+        return earlier.status();
+    }
+    if (encode(*earlier).size() != text.size()) {
+        return absl::InvalidArgumentError("job progress of an unknown version");
+    }
+    return std::move(earlier->progress);
 }
 
 } // namespace
@@ -432,10 +501,11 @@
 
 std::string encode_progress(const job_record& job)
 {
-    stored_progress progress{job.state, {}, {}};
+    stored_progress progress;
+    progress.state = job.state;
     if (!job.has_ended()) {
         progress.occurrences = job.occurrences;
-        progress.crashes = crashes_of(job.occurrences);
+        add_crashes_and_places(progress, job.occurrences);
     }
     std::string text = encode(progress);
     // Only then, as processes of earlier versions do not know that a finished step has no tasks.
@@ -448,7 +518,8 @@
 
 std::uint32_t max_open_occurrences(const stored_job& job)
 {
-    // Bytes of an encoded occurrence, step and task without checkpoint, failures and crashes.
+    // Bytes of an encoded occurrence, step and task without checkpoint, failures and crashes. The
+    // place of a service task takes less than what these may take later.
     constexpr std::size_t occurrence_bytes{17};
     constexpr std::size_t step_bytes{8};
     constexpr std::size_t task_bytes{21};
@@ -469,21 +540,19 @@
 {
     auto progress = decode<stored_progress>(text, "job progress");
     if (!progress.ok()) {
-        auto earlier = decode<progress_without_crashes>(text, "job progress");
-        if (!earlier.ok() || encode(*earlier).size() != text.size()) {
+        auto earlier = decode_earlier_progress<progress_without_places>(text);
+        if (!earlier.ok()) {
+            earlier = decode_earlier_progress<progress_without_crashes>(text);
+        }
+        if (!earlier.ok()) {
             return progress;
         }
-        progress = std::move(earlier->progress);
+        progress = std::move(earlier);
     }
     if (!is_job_state(progress->state)) {
         return absl::InvalidArgumentError("job progress: unknown state");
     }
-    for (const stored_crashes& each : progress->crashes) {
-        task_record* const task = find_crashed_task(*progress, each);
-        if (task != nullptr) {
-            task->crashes = each.counts;
-        }
-    }
+    apply_crashes_and_places(*progress);
     return progress;
 }
 
--- a/src/central/codec.h
+++ b/src/central/codec.h
@@ -34,6 +34,21 @@
     crash_counts counts;
 };
 
+/// Position of a task in its job.
+struct task_position {
+    std::uint32_t occurrence{0};
+    std::uint32_t step{0};
+    std::uint32_t index{0};
+
+    bool operator==(const task_position&) const = default;
+};
+
+/// The service tasks of a job that can run on a runner.
+struct stored_place {
+    runner_id runner;
+    std::vector<task_position> tasks;
+};
+
 /// Row of the progress table. The tasks of finished steps and the steps of finished occurrences are
 /// left out if it would be longer than a row otherwise.
 struct stored_progress {
@@ -42,6 +57,8 @@
     std::vector<occurrence_record> occurrences;
     /// `task_record::crashes` of the suspects.
     std::vector<stored_crashes> crashes;
+    /// `task_record::placed_on` of the service tasks that have one.
+    std::vector<stored_place> places;
 };
 
 std::string encode_head(const head_row& row);
--- a/src/central/commits.cpp
+++ b/src/central/commits.cpp
@@ -257,6 +257,7 @@
         }
     }
     acknowledge_stored_ends(c);
+    order_stored_starts(c);
     send_commit(c);
 }
 
--- a/src/central/crashes.cpp
+++ b/src/central/crashes.cpp
@@ -27,7 +27,7 @@
 
 bool may_have_crashed(const runner_record& r, const run& each)
 {
-    if (each.has_survived_start) {
+    if (each.has_survived_start || each.awaits_store) {
         return false;
     }
     return !each.started_by ||
@@ -225,12 +225,12 @@
 
 void count_handed_over_crash(const context& c, runner_record& r)
 {
-    if (!r.may_run_unreported || !r.handed_over) {
+    if (!r.has_unreported_runs || !r.told_by_predecessor) {
         return;
     }
     const auto blame =
-        r.handed_over->is_attributed ? crash_blame::attributed : crash_blame::possible;
-    for (const graph_task_id& id : std::exchange(r.handed_over->suspects, {})) {
+        r.told_by_predecessor->is_attributed ? crash_blame::attributed : crash_blame::possible;
+    for (const graph_task_id& id : std::exchange(r.told_by_predecessor->suspects, {})) {
         if (const task_ref ref = find_task(c.s, id)) {
             // The run is counted here.
             ref.task->crashes.has_open_run = false;
--- a/src/central/handover.cpp
+++ b/src/central/handover.cpp
@@ -2,15 +2,17 @@
 /// Recovery after a takeover: which tasks may have runs of earlier terms that no runner has
 /// reported.
 ///
-/// Only used runners have such runs. One that answers reports them. For one that does not, the
-/// holder before may have handed over which tasks can run there and when its leases end; otherwise
-/// any task may run there until all leases have expired.
+/// Only used runners have such runs. One that answers reports them. One that does not may run the
+/// services that were placed there, and any other task; these wait until all leases there have
+/// expired. A holder of the lease grants none on the runners that its row names, nor on any runner
+/// before its first row that says so. For these, its successor waits no longer than is left of the
+/// holder's own wait.
 #include "handover.h"
 
 #include <algorithm>
-#include <set>
 
 #include "absl/strings/str_cat.h"
+#include "runs.h"
 
 namespace cuminmoor::central {
 
@@ -21,123 +23,115 @@
     return std::max(millis{0}, end - now);
 }
 
-/// \return the handover of the holder before, with the times counted from now.
-handover predecessors_handover(const context& c)
+/// See `unreported_runner::suspects`.
+void drop_suspects(handover& h)
 {
-    const millis passed = c.now - c.s.lease.predecessor_seen_at;
-    const auto left = [passed](millis time) { return std::max(millis{0}, time - passed); };
-    handover h = c.s.lease.predecessor;
-    h.leases_end_within = left(h.leases_end_within);
     for (unreported_runner& each : h.runners) {
-        each.leases_end_within = left(each.leases_end_within);
-    }
-    return h;
-}
-
-std::vector<graph_task_id> service_tasks_on(const context& c, const runner_record& r)
-{
-    std::vector<graph_task_id> tasks;
-    const auto add_if_service = [&](const graph_task_id& id) {
-        const task_ref ref = find_task(c.s, id);
-        // The successor may know a task that is unknown here.
-        if (!ref || ref.step->is_service) {
-            tasks.push_back(id);
-        }
-    };
-    std::for_each(r.runs.begin(), r.runs.end(), add_if_service);
-    for (const auto& [id, orphan] : r.orphans) {
-        add_if_service(id);
+        each.suspects.clear();
     }
-    return tasks;
 }
 
-/// \return true if the successor is told what may run there, as the runner may not answer it.
-bool is_unreported(const runner_record& r, bool released)
+/// \return the handover of the holder before, with the times counted from now.
+handover predecessors_handover(const context& c)
 {
-    if (!r.stored) {
-        return false;
-    }
-    if (released) {
-        return !r.is_responsive || r.entry.draining || r.may_run_unreported;
+    const lease_state& l = c.s.lease;
+    handover h = l.predecessor;
+    for (unreported_runner& each : h.runners) {
+        each.leases_end_within = time_until(c.now, l.predecessor_seen_at + each.leases_end_within);
     }
-    // What is told of a runner keeps this holder from using it, so nothing is told of runners that
-    // answer or have not been asked yet.
-    const bool is_unknown = r.holds_failed == 0 && !r.handed_over;
-    return !r.is_responsive && !is_unknown;
+    h.earlier_leases_end_within = time_until(c.now, l.predecessor_leases_end);
+    h.may_grant = false;
+    return h;
 }
 
-/// See `unreported_runner::suspects`.
-void drop_suspects(handover& h)
+/// \return true if the successor is told of the runner.
+bool is_unreported(const runner_record& r)
 {
-    for (unreported_runner& each : h.runners) {
-        each.suspects.clear();
-    }
+    return r.stored && !r.is_responsive;
 }
 
 unreported_runner unreported_runner_of(const context& c, const runner_record& r)
 {
     unreported_runner u;
-    if (!r.may_run_unreported) {
-        u.tasks = service_tasks_on(c, r);
+    if (!r.has_unreported_runs) {
         add_suspects(c, r, u);
     }
-    else if (r.handed_over) {
-        u = *r.handed_over;
+    else if (r.told_by_predecessor) {
+        u = *r.told_by_predecessor;
     }
     u.runner = r.entry.id;
     u.leases_end_within = time_until(c.now, r.leases_expire_by);
     return u;
 }
 
-void mark_handed_over(const context& c, const unreported_runner& from)
+handover own_handover(const context& c)
 {
-    const auto found = c.s.scheduler.runners.find(from.runner);
-    if (found != c.s.scheduler.runners.end()) {
-        found->second.leases_expire_by = c.s.lease.predecessor_seen_at + from.leases_end_within;
-        found->second.handed_over = from;
-        // The row of this term repeats it.
-        found->second.is_handed_over = true;
+    scheduler_state& s = c.s.scheduler;
+    const bool is_all_stored = s.commits.stored_change == s.commits.last_change;
+    s.places_known = s.places_known || (!s.recovering && is_all_stored);
+    handover h;
+    for (const auto& [id, r] : s.runners) {
+        if (is_unreported(r)) {
+            h.runners.push_back(unreported_runner_of(c, r));
+        }
     }
+    h.earlier_leases_end_within =
+        s.recovering ? time_until(c.now, c.s.lease.predecessor_leases_end) : millis{0};
+    h.may_grant = true;
+    h.places_known = s.places_known;
+    return h;
 }
 
-unreported_runs find_unreported_runs(const scheduler_state& s)
+std::set<runner_id> runners_of(const lease_row& row)
 {
-    unreported_runs unreported;
-    unreported.any_task = !s.register_known;
-    for (const auto& [id, r] : s.runners) {
-        if (!r.may_run_unreported) {
-            continue;
-        }
-        if (!r.handed_over || !r.handed_over->tasks) {
-            return {};
+    std::set<runner_id> ids;
+    if (row.handed_over) {
+        for (const unreported_runner& each : row.handed_over->runners) {
+            ids.insert(each.runner);
         }
-        unreported.tasks.insert(r.handed_over->tasks->begin(), r.handed_over->tasks->end());
     }
-    if (unreported.any_task) {
-        return {};
+    return ids;
+}
+
+void log_recovery_begun(const context& c)
+{
+    const lease_state& l = c.s.lease;
+    c.log("recovery_begun",
+          {{"term", absl::StrCat(l.term.value)},
+           {"runners", absl::StrCat(c.s.scheduler.runners.size())},
+           {"handed_over", absl::StrCat(l.predecessor.runners.size())},
+           {"places_known", l.predecessor.places_known ? "true" : "false"},
+           {"leases_end_ms", absl::StrCat(time_until(c.now, l.predecessor_leases_end).count)}});
+}
+
+/// Renews the lease at this time, unless it is renewed before.
+void renew_early(const context& c, instant at)
+{
+    lease_state& l = c.s.lease;
+    l.early_renewal_at = std::min(l.early_renewal_at, at);
+    if (!l.renewal_in_flight) {
+        c.wake_by(std::max(l.early_renewal_at, l.retry_at));
+    }
+}
+
+/// Updates whether a runner may have unreported runs.
+/// \return true if it no longer has, as its leases have expired.
+bool expire_unreported_runs(const context& c, runner_record& r)
+{
+    const bool has_expired = !r.is_responsive && c.s.lease.renewed_at > r.leases_expire_by;
+    if (has_expired && !r.listed) {
+        count_handed_over_crash(c, r);
     }
-    return unreported;
+    const bool changes = has_expired && r.has_unreported_runs;
+    r.has_unreported_runs = r.has_unreported_runs && !has_expired;
+    return changes;
 }
 
 } // namespace
 
 handover make_handover(const context& c, bool released)
 {
-    if (c.s.lease.current_role != role::scheduler) {
-        // This VM has granted no lease in this term.
-        handover h = predecessors_handover(c);
-        if (!released) {
-            drop_suspects(h);
-        }
-        return h;
-    }
-    handover h;
-    h.leases_end_within = longest_lease(c.s);
-    for (const auto& [id, r] : c.s.scheduler.runners) {
-        if (is_unreported(r, released)) {
-            h.runners.push_back(unreported_runner_of(c, r));
-        }
-    }
+    handover h = c.is_scheduler() ? own_handover(c) : predecessors_handover(c);
     if (!released) {
         drop_suspects(h);
     }
@@ -146,33 +140,21 @@
 
 void begin_handover(const context& c, const lease_row& row)
 {
-    c.s.lease.handover_due = never;
-    if (!row.handed_over) {
-        return;
-    }
-    for (const unreported_runner& each : row.handed_over->runners) {
-        c.s.lease.runners_in_row.insert(each.runner);
-        const auto found = c.s.scheduler.runners.find(each.runner);
-        if (found != c.s.scheduler.runners.end()) {
-            found->second.is_handed_over = true;
-        }
-    }
+    c.s.lease.early_renewal_at = never;
+    c.s.lease.runners_in_row.merge(runners_of(row));
 }
 
 void end_old_handovers(const context& c, const lease_row& stored)
 {
-    std::set<runner_id>& in_row = c.s.lease.runners_in_row;
-    in_row.clear();
-    if (stored.handed_over) {
-        for (const unreported_runner& each : stored.handed_over->runners) {
-            in_row.insert(each.runner);
-        }
-    }
+    lease_state& l = c.s.lease;
+    const bool may_grant = stored.handed_over && stored.handed_over->may_grant;
+    const bool might_grant = std::exchange(l.may_grant, may_grant);
+    const std::set<runner_id> before = std::exchange(l.runners_in_row, runners_of(stored));
     for (auto& [id, r] : c.s.scheduler.runners) {
-        if (!r.is_handed_over || in_row.contains(id)) {
+        const bool was_usable = might_grant && !before.contains(id);
+        if (was_usable || !may_grant_leases(c, r)) {
             continue;
         }
-        r.is_handed_over = false;
         r.last_offer.reset();
         r.next_hold_at = std::min(r.next_hold_at, c.now);
         c.s.scheduler.placement_due = true;
@@ -180,37 +162,50 @@
     }
 }
 
+bool may_grant_leases(const context& c, const runner_record& r)
+{
+    return c.s.lease.may_grant && !c.s.lease.runners_in_row.contains(r.entry.id);
+}
+
 void update_handover(const context& c, const runner_record& r)
 {
-    if (r.is_handed_over == is_unreported(r, false)) {
+    lease_state& l = c.s.lease;
+    if (l.runners_in_row.contains(r.entry.id) == is_unreported(r)) {
         return;
     }
-    lease_state& l = c.s.lease;
     const millis interval =
         r.is_responsive ? config::renewal_after_find : config::renewal_after_loss;
-    l.handover_due = std::min(l.handover_due, l.renewal_sent_at + interval);
-    if (!l.renewal_in_flight) {
-        c.wake_by(std::max(l.handover_due, l.retry_at));
-    }
+    renew_early(c, l.renewal_sent_at + interval);
+}
+
+void renew_after_expiry(const context& c, const runner_record& r)
+{
+    const instant expired_at = r.leases_expire_by + millis{1};
+    const instant earliest = c.s.lease.renewal_sent_at + config::renewal_after_find;
+    renew_early(c, std::max(expired_at, earliest));
 }
 
 void begin_recovery(const context& c)
 {
     scheduler_state& s = c.s.scheduler;
-    const lease_state& l = c.s.lease;
+    lease_state& l = c.s.lease;
     s.recovering = true;
+    s.places_known = l.predecessor.places_known;
     for (auto& [id, r] : s.runners) {
-        r.may_run_unreported = r.stored;
-        r.leases_expire_by = l.predecessor_seen_at + l.predecessor.leases_end_within;
+        r.has_unreported_runs = r.stored;
+        r.leases_expire_by = l.predecessor_leases_end;
     }
     for (const unreported_runner& each : l.predecessor.runners) {
-        mark_handed_over(c, each);
+        if (runner_record* const r = find_runner(c, each.runner)) {
+            r->leases_expire_by = l.predecessor_seen_at + each.leases_end_within;
+            r->told_by_predecessor = each;
+        }
     }
-    c.log("recovery_begun",
-          {{"term", absl::StrCat(l.term.value)},
-           {"runners", absl::StrCat(s.runners.size())},
-           {"handed_over", absl::StrCat(l.predecessor.runners.size())},
-           {"leases_end_ms", absl::StrCat(time_until(c.now, l.predecessor_leases_end).count)}});
+    c.wake_by(c.now);
+    // The first row that names only the runners that do not answer. Most answer until then.
+    l.retry_at = std::max(l.retry_at, c.now + config::renewal_after_find);
+    renew_early(c, c.now);
+    log_recovery_begun(c);
 }
 
 void end_recovery_if_complete(const context& c)
@@ -222,19 +217,13 @@
     bool all_answered = s.register_known;
     bool has_unlisted_ends{false};
     for (auto& [id, r] : s.runners) {
-        const bool has_expired = !r.is_responsive && c.s.lease.renewed_at > r.leases_expire_by;
-        if (has_expired && !r.listed) {
-            count_handed_over_crash(c, r);
+        s.placement_due = expire_unreported_runs(c, r) || s.placement_due;
+        if (!r.is_responsive && r.has_unreported_runs) {
+            renew_after_expiry(c, r);
         }
-        r.may_run_unreported = r.may_run_unreported && !has_expired;
-        has_unlisted_ends = has_unlisted_ends || (r.is_responsive && r.may_run_unreported);
+        has_unlisted_ends = has_unlisted_ends || (r.is_responsive && r.has_unreported_runs);
         all_answered = all_answered && r.is_responsive;
     }
-    unreported_runs unreported = find_unreported_runs(s);
-    if (unreported != s.unreported) {
-        s.unreported = std::move(unreported);
-        s.placement_due = true;
-    }
     const bool have_leases_ended = c.s.lease.renewed_at >= c.s.lease.predecessor_leases_end;
     if (has_unlisted_ends || (!all_answered && !have_leases_ended)) {
         return;
@@ -245,7 +234,7 @@
                              {"all_answered", all_answered ? "true" : "false"}});
 }
 
-bool may_run_unreported(const context& c, const graph_task_id& id, const task_ref& ref)
+bool may_have_unreported_run(const context& c, const task_ref& ref)
 {
     const scheduler_state& s = c.s.scheduler;
     if (!ref.job->recovered || !s.recovering || ref.task->is_reconciled) {
@@ -253,10 +242,11 @@
     }
     // A task that has just crashed a runner would crash one under each holder before any of them
     // can tell. Services are missed soon, so they take that risk unless they are suspects.
-    if (!ref.step->is_service || ref.task->crashes.is_suspect) {
+    if (!ref.step->is_service || ref.task->crashes.is_suspect || !s.places_known) {
         return true;
     }
-    return s.unreported.any_task || s.unreported.tasks.contains(id);
+    const runner_record* const r = find_runner(c, ref.task->placed_on);
+    return r != nullptr && r->has_unreported_runs;
 }
 
 } // namespace cuminmoor::central
--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -32,31 +32,43 @@
            s.lease.row->incarnation != s.self.incarnation;
 }
 
-/// \return the time from `seen_at` until all leases that earlier holders granted have expired.
-///
-/// A holder grants leases until it has not renewed its own for `max_time_without_renewal`. One that
-/// released it or whose process has ended grants none from then on, and if it had recovered, those
-/// of earlier holders have expired.
-millis time_until_leases_end(const central_state& s)
+/// \return the longest time for which leases of a holder are valid after its last renewal was seen:
+/// it grants leases until it has not renewed its own for `max_time_without_renewal`.
+millis longest_time_of_leases(const central_state& s)
+{
+    return config::max_time_without_renewal + longest_lease(s);
+}
+
+/// \return the time from `seen_at` until all leases that the holder in the row granted have
+/// expired.
+millis time_until_holders_leases_end(const central_state& s)
 {
     const lease_state& l = s.lease;
-    const bool has_ended = is_held_by_previous_incarnation(s) || (l.row && l.row->released);
-    const bool is_last_known = has_ended && l.row->recovered;
-    const millis active_for = is_last_known ? millis{0} : config::max_time_without_renewal;
-    return active_for + longest_lease(s);
+    if (!l.row) {
+        return longest_time_of_leases(s);
+    }
+    if (l.row->handed_over && !l.row->handed_over->may_grant) {
+        return {};
+    }
+    const bool grants_no_more = is_held_by_previous_incarnation(s) || l.row->released;
+    return grants_no_more ? longest_lease(s) : longest_time_of_leases(s);
 }
 
 /// Keeps what the last row says about earlier holders: the feed may deliver this VM's own row,
 /// which changes `seen_at`, before its claim is answered.
-void remember_predecessor(lease_state& l, millis leases_end_within)
+void remember_predecessor(const central_state& s, lease_state& l)
 {
     l.predecessor_seen_at = l.seen_at;
-    l.predecessor_leases_end = l.seen_at + leases_end_within;
-    l.predecessor = l.row && l.row->handed_over ? *l.row->handed_over : handover{};
-    const bool grants_no_more = l.row && l.row->handed_over && l.row->released;
-    if (!grants_no_more) {
-        l.predecessor.leases_end_within = leases_end_within;
+    l.predecessor = {};
+    // Without a row nothing has run yet.
+    l.predecessor.places_known = !l.row;
+    l.predecessor.earlier_leases_end_within = longest_time_of_leases(s);
+    if (l.row && l.row->handed_over) {
+        l.predecessor = *l.row->handed_over;
     }
+    const millis until_end =
+        std::max(l.predecessor.earlier_leases_end_within, time_until_holders_leases_end(s));
+    l.predecessor_leases_end = l.seen_at + until_end;
 }
 
 /// \return the jittered delay of this VM's claim; VMs with insufficient capacity wait longer, so
@@ -101,25 +113,21 @@
     return {s.self.vm.value, s.self.address, s.self.incarnation, term, released, recovered, {}};
 }
 
-/// Encodes the row that is about to be sent. Runners of which it cannot tell are left out, as if
-/// this holder knew nothing of them.
+/// Encodes the row that is about to be sent. Runners for which it has no room are left out, as if
+/// this holder granted leases there.
 std::string encode_fitting_lease(const context& c, lease_row& row)
 {
     std::string encoded = encode_lease(row);
-    const std::size_t known = row.handed_over ? row.handed_over->runners.size() : 0;
-    while (encoded.size() > config::max_row_bytes && row.handed_over) {
-        auto& runners = row.handed_over->runners;
+    auto& runners = row.handed_over->runners;
+    const std::size_t known = runners.size();
+    while (encoded.size() > config::max_row_bytes && !runners.empty()) {
         runners.resize(runners.size() / 2);
-        if (runners.empty()) {
-            row.handed_over.reset();
-        }
         encoded = encode_lease(row);
     }
-    const std::size_t kept = row.handed_over ? row.handed_over->runners.size() : 0;
-    if (kept < known) {
+    if (runners.size() < known) {
         c.log("handover_incomplete", {{"term", absl::StrCat(row.term.value)},
                                       {"runners", absl::StrCat(known)},
-                                      {"kept", absl::StrCat(kept)}});
+                                      {"kept", absl::StrCat(runners.size())}});
     }
     return encoded;
 }
@@ -188,7 +196,7 @@
 void renew_when_due(const context& c)
 {
     lease_state& l = c.s.lease;
-    const instant next = std::min(l.renewal_sent_at + config::lease_renewal, l.handover_due);
+    const instant next = std::min(l.renewal_sent_at + config::lease_renewal, l.early_renewal_at);
     const instant due = std::max(next, l.retry_at);
     if (l.renewal_in_flight) {
         return;
@@ -221,7 +229,7 @@
             renew_when_due(c);
         }
         else {
-            c.wake_by(l.handover_due);
+            c.wake_by(l.early_renewal_at);
         }
         return;
     }
@@ -257,6 +265,7 @@
 {
     lease_state& l = c.s.lease;
     l.was_read = l.was_read || e.is_snapshot;
+    const row_version known_version = l.version;
     for (const table_row& r : e.rows) {
         on_capacity_row(c, r);
         if (r.key != lease_key.key || r.version <= l.version) {
@@ -281,6 +290,10 @@
     if (held_here && !is_held_by_this_process(c.s)) {
         step_down(c, "another VM holds the lease");
     }
+    else if (held_here && l.version != known_version) {
+        // No row that was sent before it can be stored any more.
+        end_old_handovers(c, *l.row);
+    }
 }
 
 void on_store_reachable(const context& c, const store_reachable& e)
@@ -316,7 +329,7 @@
     const term_number known = l.row ? l.row->term : term_number{};
     l.term.value = std::max(known.value, newest.term.value) + 1;
     l.current_role = role::claiming;
-    remember_predecessor(l, time_until_leases_end(c.s));
+    remember_predecessor(c.s, l);
     rows_commit claim;
     claim.preconditions.push_back({head_key, head_version});
     claim.changes.push_back({head_key, encode_head({l.term, 0})});
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -132,8 +132,11 @@
 void on_order_ended(const context& c, const runner_order_ended& e);
 
 // ---- runs.cpp: starts and resource accounting of runs
+/// Reserves resources for a run and orders its start; that of a service once its place is stored.
 void start_run(const context& c, const graph_task_id& id, task_ref ref, runner_record& r,
                run_number number);
+/// Orders the starts whose places are stored, on runners that can still take them.
+void order_stored_starts(const context& c);
 /// Stops the runs on a draining runner that lose no progress by a stop: services and tasks with
 /// checkpoints.
 void evict_from_draining_runner(const context& c, runner_record& r);
--- a/src/central/run_reports.cpp
+++ b/src/central/run_reports.cpp
@@ -117,6 +117,7 @@
     adopted.has_survived_start = !ref.task->crashes.is_suspect;
     ref.task->last_run = std::max(ref.task->last_run, reported.run);
     attach_run(ref, r, reported.task, adopted);
+    keep_place(c, ref, r.entry.id);
     // Nobody can tell how long services have missed their targets beside it.
     r.targets_met_at.reset();
     mark_job_started(c, *ref.job);
@@ -202,6 +203,9 @@
         log_run(c, "run_ended", e.task, *ref.task->current_run, name_of(e.cause));
         detach_run(c, ref, &r, e.task);
     }
+    else if (!ref.task->current_run && ref.task->placed_on == r.entry.id) {
+        forget_place(c, ref);
+    }
     ref.task->last_run = std::max(ref.task->last_run, e.run);
     end_suspect_run(c, ref);
     if (!e.checkpoint.empty() && ref.task->status != task_status::done) {
--- a/src/central/runner_selector.cpp
+++ b/src/central/runner_selector.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Selection of a runner for a task: the feasible one with the highest score, which usually has the
 /// most spare processor time.
-#include "parts.h"
+#include "handover.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -117,7 +117,7 @@
 bool is_schedulable(const context& c, const runner_record& r)
 {
     return r.is_responsive && r.listed && r.stored && !r.entry.draining && r.clock &&
-           !r.is_handed_over && r.orphans.empty() && c.now >= r.avoided_until &&
+           may_grant_leases(c, r) && r.orphans.empty() && c.now >= r.avoided_until &&
            !r.probation_until && !c.s.operators.out_of_service.contains(r.entry.failure_domain);
 }
 
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -51,13 +51,13 @@
 {
     const bool waits_for_store = r.acknowledged < r.last_processed_end;
     const bool has_current_clock = r.clock.has_value() && r.is_responsive;
-    const bool is_short = waits_for_store || !has_current_clock || r.is_handed_over;
+    const bool is_short = waits_for_store || !has_current_clock || !may_grant_leases(c, r);
     const millis wait = is_short ? millis{0} : wait_for_end(r);
     // After a failed hold, only ask for a report. Extending leases would postpone their computed
     // expiry although the runner may be gone, and a restarted runner numbers its ends from 1 again,
     // so an old acknowledgement would match new ends.
-    const bool may_extend =
-        has_current_clock && may_send_orders(c) && !may_be_released(c.s.lease) && !r.is_handed_over;
+    const bool may_extend = has_current_clock && may_send_orders(c) &&
+                            !may_be_released(c.s.lease) && may_grant_leases(c, r);
     const auto until = may_extend ? grant_lease(c, r) : std::nullopt;
     const bool is_new_acknowledgement =
         has_current_clock && r.acknowledged > r.acknowledgement_delivered;
@@ -107,6 +107,10 @@
                    result == order_result::other_incarnation ? "other incarnation" : "");
         record_runner_loss(c, r);
     }
+    else if (r.holds_failed == 1 && r.has_unreported_runs) {
+        const millis left = std::max(millis{0}, r.leases_expire_by - c.now);
+        log_runner(c, "recovery_waits", r, absl::StrCat("leases end within ", left.count, " ms"));
+    }
     r.is_responsive = false;
     update_handover(c, r);
     if (result == order_result::other_incarnation) {
@@ -153,9 +157,9 @@
             r.last_processed_end = end.number;
         }
     }
-    r.may_run_unreported = r.may_run_unreported && e.has_more_ends;
+    r.has_unreported_runs = r.has_unreported_runs && e.has_more_ends;
     // From now on this holder starts runs there that the holder before did not know.
-    r.handed_over.reset();
+    r.told_by_predecessor.reset();
     process_reported_runs(c, r, e);
     learn_disturbance(c, r);
     update_expected_disturbance(c, r);
@@ -209,11 +213,15 @@
 /// renewal of its own lease. That time must therefore be later than the expiry.
 void drop_runs_with_expired_leases(const context& c, runner_record& r)
 {
-    const bool has_expired = !r.is_responsive && !r.runs.empty() && r.holds_failed > 0 &&
-                             c.s.lease.renewed_at > r.leases_expire_by;
-    if (has_expired) {
+    if (r.is_responsive || r.runs.empty() || r.holds_failed == 0) {
+        return;
+    }
+    if (c.s.lease.renewed_at > r.leases_expire_by) {
         mark_all_runs_lost(c, r, loss_evidence::leases_expired);
     }
+    else {
+        renew_after_expiry(c, r);
+    }
 }
 
 /// \return true if the runner is unlisted, unresponsive and without runs: either it has reported
@@ -273,7 +281,6 @@
         r.last_offer.reset();
         if (is_new) {
             r.latency_rise_budget = config::initial_latency_rise_budget;
-            r.is_handed_over = c.s.lease.runners_in_row.contains(entry.id);
             s.commits.runners_to_add.push_back(entry.id);
         }
         if (entry.draining && !was_draining) {
@@ -318,7 +325,7 @@
     }
     process_hold_report(c, r, e);
     update_acknowledged(c, r);
-    const bool waits_for_store = r.acknowledged < r.last_processed_end || r.is_handed_over;
+    const bool waits_for_store = r.acknowledged < r.last_processed_end || !may_grant_leases(c, r);
     r.next_hold_at = waits_for_store ? c.now + config::unstored_hold_interval : c.now;
     send_hold_if_due(c, r);
 }
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -51,6 +51,59 @@
     release_run(c, id, ref);
 }
 
+/// Records the runner on which a service task can run; empty: none.
+void set_place(const context& c, const task_ref& ref, const runner_id& place)
+{
+    if (ref.task->placed_on != place) {
+        ref.task->placed_on = place;
+        mark_changed(c, *ref.job);
+    }
+}
+
+void order_start(const context& c, const graph_task_id& id, const task_ref& ref, runner_record& r)
+{
+    run& started = *ref.task->current_run;
+    started.ordered_at = c.now;
+    started.awaits_store = false;
+    started.start_in_flight = true;
+    runner_order order = make_order(c, r, id, order_kind::start, started.number);
+    order.payload = ref.job->spec.payload;
+    order.checkpoint = ref.task->checkpoint;
+    order.lease_until = grant_lease(c, r).value_or(remote_instant{});
+    log_run(c, "run_started", id, started, order.checkpoint.empty() ? "fresh" : "resumed");
+    if (ref.task->crashes.is_suspect) {
+        r.probation_until = c.now + config::crash_probation;
+        c.wake_by(*r.probation_until);
+    }
+    c.add(std::move(order));
+}
+
+/// \return true if the runner on which the run has its place can still take it.
+bool can_still_take(const context& c, runner_record& r, const graph_task_id& id,
+                    const task_ref& ref)
+{
+    if (!may_send_orders(c) || c.s.lease.releasing || !is_schedulable(c, r)) {
+        return false;
+    }
+    unreserve_run(r, ref, id);
+    const bool fits = is_feasible(c, r, id, ref, runner_requirement::full_speed);
+    reserve_for_run(r, ref, id);
+    return fits;
+}
+
+/// Orders the start of a run whose place is stored, or gives the place up.
+void order_or_release(const context& c, const graph_task_id& id, const task_ref& ref)
+{
+    runner_record* const r = find_runner(c, ref.task->current_run->runner);
+    const bool is_wanted = ref.task->current_run->phase == run_phase::starting;
+    if (is_wanted && r != nullptr && can_still_take(c, *r, id, ref)) {
+        order_start(c, id, ref, *r);
+    }
+    else {
+        release_run(c, id, ref);
+    }
+}
+
 } // namespace
 
 runner_record* find_runner(const context& c, const runner_id& id)
@@ -144,6 +197,20 @@
     }
 }
 
+void keep_place(const context& c, const task_ref& ref, const runner_id& place)
+{
+    if (ref.step->is_service) {
+        set_place(c, ref, place);
+    }
+}
+
+void forget_place(const context& c, const task_ref& ref)
+{
+    if (!ref.job->has_ended()) {
+        set_place(c, ref, {});
+    }
+}
+
 void detach_run(const context& c, const task_ref& ref, runner_record* r, const graph_task_id& id)
 {
     if (r != nullptr) {
@@ -151,6 +218,7 @@
     }
     forget_stop(c, id, *ref.task->current_run);
     ref.task->current_run.reset();
+    forget_place(c, ref);
     end_suspect_run(c, ref);
     if (--ref.job->active_runs == 0) {
         ref.job->idle_since = c.now;
@@ -167,23 +235,37 @@
     started.runner = r.entry.id;
     started.number = number;
     started.ordered_at = c.now;
-    started.start_in_flight = true;
+    started.awaits_store = ref.step->is_service;
     started.is_isolated = ref.task->crashes.is_suspect;
     attach_run(ref, r, id, started);
+    if (started.awaits_store) {
+        // Also if it was there before: that is known to be stored only after this change.
+        ref.task->placed_on = r.entry.id;
+        mark_changed(c, *ref.job);
+        c.s.scheduler.unstored_places[id] = ref.job->last_change;
+        return;
+    }
     if (ref.step->uses_leftover) {
         update_expected_disturbance(c, r);
     }
+    order_start(c, id, ref, r);
+}
 
-    runner_order order = make_order(c, r, id, order_kind::start, number);
-    order.payload = ref.job->spec.payload;
-    order.checkpoint = ref.task->checkpoint;
-    order.lease_until = grant_lease(c, r).value_or(remote_instant{});
-    log_run(c, "run_started", id, started, order.checkpoint.empty() ? "fresh" : "resumed");
-    if (ref.task->crashes.is_suspect) {
-        r.probation_until = c.now + config::crash_probation;
-        c.wake_by(*r.probation_until);
+void order_stored_starts(const context& c)
+{
+    scheduler_state& s = c.s.scheduler;
+    for (auto it = s.unstored_places.begin(); it != s.unstored_places.end();) {
+        if (it->second > s.commits.stored_change) {
+            ++it;
+            continue;
+        }
+        const graph_task_id id = it->first;
+        it = s.unstored_places.erase(it);
+        const task_ref ref = find_task(c.s, id);
+        if (ref && ref.task->current_run && ref.task->current_run->awaits_store) {
+            order_or_release(c, id, ref);
+        }
     }
-    c.add(std::move(order));
 }
 
 void evict_from_draining_runner(const context& c, runner_record& r)
@@ -224,7 +306,7 @@
         count_crash(c, r, suspects);
         count_handed_over_crash(c, r);
     }
-    r.may_run_unreported = false;
+    r.has_unreported_runs = false;
 }
 
 void drop_unreported_runs(const context& c, runner_record& r, const runner_hold_ended& report)
--- a/src/central/runs.h
+++ b/src/central/runs.h
@@ -32,6 +32,10 @@
 /// Logs an event of a run.
 void log_run(const context& c, const char* name, const graph_task_id& id, const run& r,
              const char* outcome);
+/// Records that a service task runs on this runner, whatever the store says.
+void keep_place(const context& c, const task_ref& ref, const runner_id& place);
+/// Records that a task runs on no runner.
+void forget_place(const context& c, const task_ref& ref);
 /// Makes an active task without a run ready again, unless its job has ended.
 void requeue_task(const context& c, const graph_task_id& id, task_ref ref);
 
--- a/src/central/stops.cpp
+++ b/src/central/stops.cpp
@@ -70,7 +70,8 @@
 {
     runner_record* const r = find_runner(c, stopped.runner);
     stopped.phase = run_phase::stopping;
-    if (r == nullptr || stopped.stop.orders > 0) {
+    // A run that awaits the store is released when that answers.
+    if (r == nullptr || stopped.awaits_store || stopped.stop.orders > 0) {
         return;
     }
     log_run(c, "run_stopped", id, stopped, "ordered");
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -207,6 +207,7 @@
     }
     const effects out = reduce(v.state, e, now_, wall_clock_at(now_));
     for (const effect& each : out) {
+        check_place(each);
         execute(vm, each);
     }
     v.next_tick = v.state.wake_at;
@@ -568,6 +569,17 @@
     return behaviour;
 }
 
+void central_world::check_place(const effect& e)
+{
+    const auto* const order = std::get_if<runner_order>(&e);
+    if (order == nullptr || order->kind != order_kind::start || !behaviour_of(*order).is_service) {
+        return;
+    }
+    if (stored_place_of(order->task) != order->runner) {
+        record_violation("a start of " + task_text(order->task) + " whose place is not stored");
+    }
+}
+
 void central_world::check_start(const runner_order& order, std::size_t runner)
 {
     const graph_task_id& task = order.task;
@@ -672,6 +684,21 @@
     return decoded.progress.ok() ? &*decoded.progress : nullptr;
 }
 
+runner_id central_world::stored_place_of(const graph_task_id& id) const
+{
+    const stored_progress* const progress = find_progress(id.job);
+    if (progress == nullptr) {
+        return {};
+    }
+    const task_position at{id.occurrence, id.step, id.index};
+    for (const stored_place& place : progress->places) {
+        if (std::find(place.tasks.begin(), place.tasks.end(), at) != place.tasks.end()) {
+            return place.runner;
+        }
+    }
+    return {};
+}
+
 bool central_world::is_stored_as_done(const graph_task_id& id) const
 {
     const stored_progress* const progress = find_progress(id.job);
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -254,6 +254,9 @@
     task_behaviour behaviour_of(const runner_order& order) const;
     void deliver_order(std::size_t vm, const runner_order& order, bool is_answered,
                        std::uint64_t incarnation);
+    /// Checks that the store has the place of a service task that is to start, see
+    /// `task_record::placed_on`.
+    void check_place(const effect& e);
     void check_start(const runner_order& order, std::size_t runner);
     void check_capacity(std::size_t runner);
     /// Crashes the runner soon if the task does that.
@@ -263,6 +266,8 @@
     [[nodiscard]] bool is_valid(const rows_commit& e) const;
     /// \return the job's stored progress, or null.
     [[nodiscard]] const stored_progress* find_progress(const job_id& job) const;
+    /// \return the runner on which the task can run according to the store; empty: none.
+    [[nodiscard]] runner_id stored_place_of(const graph_task_id& id) const;
     [[nodiscard]] bool is_stored_as_done(const graph_task_id& id) const;
     void record_violation(const std::string& text);
 
--- a/tests/test_central_codec.cpp
+++ b/tests/test_central_codec.cpp
@@ -155,17 +155,22 @@
 {
     const lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, true, {}};
     const std::string text = encode_lease(row);
-    const auto without_handover = decode_lease(text.substr(0, text.size() - 1));
+    const auto without_handover = decode_lease(text.substr(0, text.size() - 2));
     cr_assert(without_handover.ok());
     cr_assert(without_handover->recovered);
     cr_assert_not(without_handover->handed_over.has_value());
-    const auto earlier = decode_lease(text.substr(0, text.size() - 2));
+    // What earlier versions hand over is not read.
+    std::string with_earlier_handover = text.substr(0, text.size() - 1);
+    with_earlier_handover.back() = 0;
+    cr_assert(decode_lease(with_earlier_handover).ok());
+    cr_assert_not(decode_lease(with_earlier_handover)->handed_over.has_value());
+    const auto earlier = decode_lease(text.substr(0, text.size() - 3));
     cr_assert(earlier.ok());
     cr_assert_eq(earlier->term.value, 3);
     cr_assert(earlier->released);
     cr_assert_not(earlier->recovered);
     cr_assert(decode_lease(text)->recovered);
-    cr_assert_not(decode_lease(text.substr(0, text.size() - 3)).ok());
+    cr_assert_not(decode_lease(text.substr(0, text.size() - 4)).ok());
 }
 
 Test(central_codec, lease_row_keeps_what_its_holder_handed_over)
@@ -173,18 +178,20 @@
     lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, false, {}};
     const graph_task_id task{{"0123456789abcdef"}, 2, 1, 7};
     row.handed_over = handover{
-        {{{"i-1"}, {4'000}, {{task}}, {task}, true}, {{"i-2"}, {100}, {}, {}, false}}, {6'220}};
+        {{{"i-1"}, {4'000}, {task}, true}, {{"i-2"}, {100}, {}, false}}, {6'220}, true, true};
     const auto read = decode_lease(encode_lease(row));
     cr_assert(read.ok() && read->handed_over.has_value());
-    cr_assert(read->handed_over->leases_end_within == millis{6'220});
+    cr_assert(read->handed_over->earlier_leases_end_within == millis{6'220});
+    cr_assert(read->handed_over->may_grant);
+    cr_assert(read->handed_over->places_known);
     const auto& runners = read->handed_over->runners;
     cr_assert_eq(runners.size(), 2);
     cr_assert(runners[0].runner == runner_id{"i-1"});
     cr_assert(runners[0].leases_end_within == millis{4'000});
-    cr_assert(runners[0].tasks == std::vector<graph_task_id>{task});
     cr_assert(runners[0].suspects == std::vector<graph_task_id>{task});
     cr_assert(runners[0].is_attributed);
-    cr_assert_not(runners[1].tasks.has_value());
+    cr_assert(runners[1].leases_end_within == millis{100});
+    cr_assert(runners[1].suspects.empty());
 }
 
 /// During a rolling upgrade VMs read answers of processes that do not write `held` yet.
@@ -198,3 +205,31 @@
     cr_assert(earlier->result == call_result::pending && earlier->pending == 5);
     cr_assert_not(earlier->held.has_value());
 }
+
+/// The places of service tasks are kept, and progress of processes that do not write them is read.
+Test(central_codec, progress_keeps_the_places_of_services)
+{
+    job_record job;
+    job.state = job_state::running;
+    job.occurrences.resize(1);
+    job.occurrences[0].is_started = true;
+    job.occurrences[0].steps.resize(1);
+    auto& tasks = job.occurrences[0].steps[0].tasks;
+    tasks.resize(2);
+    const std::string without_places = encode_progress(job);
+    tasks[1].placed_on = {"i-1"};
+    const auto read = decode_progress(encode_progress(job));
+    cr_assert(read.ok());
+    const auto& read_tasks = read->occurrences[0].steps[0].tasks;
+    cr_assert(read_tasks[0].placed_on == runner_id{});
+    cr_assert(read_tasks[1].placed_on == runner_id{"i-1"});
+
+    constexpr std::size_t empty_list_bytes{8};
+    for (const std::size_t lists : {1, 2}) {
+        const std::size_t bytes = without_places.size() - lists * empty_list_bytes;
+        const auto earlier = decode_progress(without_places.substr(0, bytes));
+        cr_assert(earlier.ok());
+        cr_assert_eq(earlier->occurrences[0].steps[0].tasks.size(), 2);
+    }
+    cr_assert_not(decode_progress(without_places.substr(0, without_places.size() - 1)).ok());
+}
--- a/tests/test_central_relocation.cpp
+++ b/tests/test_central_relocation.cpp
@@ -17,6 +17,7 @@
     {
         s.lease.current_role = role::scheduler;
         s.lease.renewed_at = now;
+        s.lease.may_grant = true;
         add_job("calm", "s1", true);
         add_job("disturbed", "s2", true);
         add_job("batch1", "f", false);
--- a/tests/test_central_replaced_runners.cpp
+++ b/tests/test_central_replaced_runners.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// The VM that schedules ends without notice, again and again, while runners are replaced and others
-/// are lost.
+/// The VM that schedules ends without notice, again and again, while runners are replaced and
+/// others are lost.
 #include <cstdint>
 #include <vector>
 
--- a/tests/test_central_stops.cpp
+++ b/tests/test_central_stops.cpp
@@ -151,7 +151,7 @@
         w.stop_gracefully(holder);
         w.faults.late_orders = 0.3;
         while (!w.scheduler() || w.scheduler() == holder) {
-            w.run_for({10});
+            w.run_for({1});
         }
         cr_assert_eq(count_runs(w), service_tasks);
         expect_all_runs_end(w, seed);
