Lease: a renewal whose answer is lost counts once the feed shows its row

Callers saw runs lapse while the store carried out every renewal and only its answers were lost: the holder took its lease for not renewed and stopped extending leases after 6 s.

Cause: only the answer to the transaction counted; the holder's own row in the feed updated the version and nothing else. Change: the feed's row is compared with the one in flight; if it is the same, the renewal has taken effect. Evidence: renewals_without_answers_are_seen_in_the_feed fails without it (no run is left after 20 s) and passes.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -473,8 +473,9 @@
     handover predecessor;
     /// When the leases of earlier holders have expired on runners that were not handed over.
     instant predecessor_leases_end;
-    /// The last row that was sent.
+    /// The last row that was sent, and its text.
     lease_row row_in_flight;
+    std::string encoded_in_flight;
     /// When the last successful renewal was sent.
     instant renewed_at;
     instant renewal_sent_at;
--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -139,7 +139,8 @@
     commit.preconditions.push_back({lease_key, l.version});
     l.row_in_flight = own_row(c.s, l.term, released);
     l.row_in_flight.handed_over = make_handover(c, released);
-    commit.changes.push_back({lease_key, encode_fitting_lease(c, l.row_in_flight)});
+    l.encoded_in_flight = encode_fitting_lease(c, l.row_in_flight);
+    commit.changes.push_back({lease_key, l.encoded_in_flight});
     begin_handover(c, l.row_in_flight);
     commit.number = ++l.last_commit;
     l.renewal_in_flight = true;
@@ -239,6 +240,19 @@
     }
 }
 
+/// Ends a renewal that has taken effect, as the store's feed shows. Its answer may be lost.
+void on_renewal_shown(const context& c)
+{
+    lease_state& l = c.s.lease;
+    l.renewal_in_flight = false;
+    ++l.last_commit;
+    rows_committed shown;
+    shown.purpose = commit_purpose::lease;
+    shown.outcome = store_outcome::ok;
+    shown.version = l.version;
+    on_renewal_committed(c, shown);
+}
+
 /// Releases a lease that this process holds by a claim whose answer was lost.
 void release_unconfirmed_claim(const context& c)
 {
@@ -266,6 +280,7 @@
     lease_state& l = c.s.lease;
     l.was_read = l.was_read || e.is_snapshot;
     const row_version known_version = l.version;
+    bool shows_renewal{false};
     for (const table_row& r : e.rows) {
         on_capacity_row(c, r);
         if (r.key != lease_key.key || r.version <= l.version) {
@@ -276,6 +291,7 @@
             c.log("lease_unreadable", {{"reason", std::string{row.status().message()}}});
             continue;
         }
+        shows_renewal = l.renewal_in_flight && r.value == l.encoded_in_flight;
         const bool new_holder = !l.row || l.row->term != row->term;
         l.row = *std::move(row);
         l.version = r.version;
@@ -290,6 +306,9 @@
     if (held_here && !is_held_by_this_process(c.s)) {
         step_down(c, "another VM holds the lease");
     }
+    else if (held_here && shows_renewal) {
+        on_renewal_shown(c);
+    }
     else if (held_here && l.version != known_version) {
         // No row that was sent before it can be stored any more.
         end_old_handovers(c, *l.row);
--- a/tests/test_central_takeover.cpp
+++ b/tests/test_central_takeover.cpp
@@ -383,3 +383,28 @@
     cr_assert_eq(w.starts(), jobs);
     expect_no_violation(w);
 }
+
+/// Guards against a holder that counts its lease as not renewed, and lets runs lapse, while the
+/// store carries out its renewals and their answers are lost.
+Test(central_takeover, renewals_without_answers_are_seen_in_the_feed)
+{
+    central_world w{{.vms = 3}};
+    w.run_for(warm_up);
+    graph_job job = central_world::make_job(id_of(1), 1, 4, {400});
+    job.steps[0].is_service = true;
+    w.submit(0, job);
+    w.run_for({1'000});
+    const std::size_t holder = w.scheduler().value();
+    const std::uint64_t starts = w.starts();
+    cr_assert_eq(starts, 4);
+    w.faults.lost_commits = 1;
+    w.run_for({20'000});
+    std::size_t running{0};
+    for (std::size_t i{0}; i < w.runners(); ++i) {
+        running += w.runner(i).running.size();
+    }
+    cr_assert_eq(running, starts);
+    cr_assert_eq(w.starts(), starts);
+    cr_assert_eq(w.scheduler().value(), holder);
+    expect_no_violation(w);
+}
