--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -482,10 +482,12 @@
     bool renewal_in_flight{false};
     /// The commit in flight releases the lease.
     bool release_in_flight{false};
-    /// Runners in the rows that may be stored now, see `handover::runners`.
-    std::set<runner_id> runners_in_row;
+    /// The lease is to be released.
+    bool releasing{false};
     /// A row with `handover::may_grant` is certainly stored.
     bool may_grant{false};
+    /// Runners in the rows that may be stored now, see `handover::runners`.
+    std::set<runner_id> runners_in_row;
     /// When a row should be sent although the last one is recent: runners were lost or found since,
     /// or leases of a lost runner have expired.
     instant early_renewal_at{never};
@@ -493,7 +495,6 @@
     std::uint64_t last_commit{0};
     instant retry_at;
     term_number term;
-    bool releasing{false};
     /// When this VM last won the lease.
     instant won_at;
 };
