--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -98,8 +98,7 @@
 inline constexpr millis runner_timeout{2'000};
 inline constexpr millis hold_retry{200};
 inline constexpr millis max_hold_retry{1'000};
-/// Interval of holds while the consequences of reported ends are not stored yet, or while the
-/// lease row is outdated about the runner.
+/// Interval of holds while the consequences of reported ends are not stored yet.
 inline constexpr millis unstored_hold_interval{150};
 /// A stop order is repeated after this time until the runner confirms it, and due repeats are sent
 /// at most once per `stop_retry_interval`.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -200,8 +200,10 @@
     std::size_t progress_rows{0};
     /// True while the job is in `commit_state::changed_jobs`.
     bool dirty{false};
-    /// Number of the job's newest change; see `commit_state::stored_change`.
+    /// Number of the job's newest change, and of the newest that is in the store; see
+    /// `commit_state::stored_change`.
     std::uint64_t last_change{0};
+    std::uint64_t stored_change{0};
     /// The job was loaded from the store at the start of this term: one of its tasks may have a run
     /// that no runner has reported yet.
     bool recovered{false};
@@ -446,6 +448,8 @@
     bool recovered{false};
     /// Not set in rows of processes of an earlier version.
     std::optional<handover> handed_over;
+    /// Different in each row that a process sends.
+    std::uint64_t number{0};
 };
 
 enum class role : std::uint8_t {
@@ -513,6 +517,8 @@
 struct committed_job {
     job_id job;
     job_state state{job_state::queued};
+    /// Number of its newest change that the commit has.
+    std::uint64_t last_change{0};
     /// As in `job_record`.
     std::size_t spec_rows{0};
     std::size_t progress_rows{0};
@@ -604,9 +610,8 @@
     bool recovering{false};
     /// See `handover::places_known`.
     bool places_known{false};
-    /// Contains the service tasks whose run has `awaits_store`, each with the number of the change
-    /// that has its place, see `commit_state::stored_change`; other entries are dropped when that
-    /// is stored.
+    /// Contains the service tasks whose run has `awaits_store`, each with the number of the job's
+    /// change that has its place; other entries are dropped when that is stored.
     std::map<graph_task_id, std::uint64_t> unstored_places;
     /// Occurrences that are not due yet: due time on the wall clock, job, and index of the
     /// occurrence.
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -138,7 +138,7 @@
     if (!lacks_earlier_handover) {
         throw cereal::Exception{"the handover is in an earlier format"};
     }
-    archive(r.handed_over);
+    archive(r.handed_over, r.number);
 }
 
 /// A lease row as it was written before `handed_over` was added.
--- a/src/central/commits.cpp
+++ b/src/central/commits.cpp
@@ -55,7 +55,7 @@
 {
     const table_key spec_key{table::jobs, job.spec.id.value};
     const table_key progress_key{table::progress, job.spec.id.value};
-    committed_job added{job.spec.id, job.state, job.spec_rows, job.progress_rows};
+    committed_job added{job.spec.id, job.state, job.last_change, job.spec_rows, job.progress_rows};
     std::vector<row_change> changes;
     if (job.stored == stored_part::nothing && !job.has_ended()) {
         const millis submitted_at = c.wall_time - (c.now - job.submitted_at);
@@ -244,6 +244,7 @@
     for (const committed_job& each : commit.jobs) {
         const auto found = s.jobs.find(each.job);
         if (found != s.jobs.end()) {
+            found->second.stored_change = each.last_change;
             found->second.spec_rows = each.spec_rows;
             found->second.progress_rows = each.progress_rows;
             on_job_stored(c, found->second, each.state);
--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -32,6 +32,11 @@
            s.lease.row->incarnation != s.self.incarnation;
 }
 
+bool may_have_granted(const lease_row& row)
+{
+    return !row.handed_over || row.handed_over->may_grant;
+}
+
 /// \return the longest time for which leases of a holder are valid after its last renewal was seen:
 /// it grants leases until it has not renewed its own for `max_time_without_renewal`.
 millis longest_time_of_leases(const central_state& s)
@@ -47,7 +52,7 @@
     if (!l.row) {
         return longest_time_of_leases(s);
     }
-    if (l.row->handed_over && !l.row->handed_over->may_grant) {
+    if (!may_have_granted(*l.row)) {
         return {};
     }
     const bool grants_no_more = is_held_by_previous_incarnation(s) || l.row->released;
@@ -110,7 +115,7 @@
 lease_row own_row(const central_state& s, term_number term, bool released)
 {
     const bool recovered = s.lease.current_role == role::scheduler && !s.scheduler.recovering;
-    return {s.self.vm.value, s.self.address, s.self.incarnation, term, released, recovered, {}};
+    return {s.self.vm.value, s.self.address, s.self.incarnation, term, released, recovered, {}, 0};
 }
 
 /// Encodes the row that is about to be sent. Runners for which it has no room are left out, as if
@@ -139,10 +144,11 @@
     commit.preconditions.push_back({lease_key, l.version});
     l.row_in_flight = own_row(c.s, l.term, released);
     l.row_in_flight.handed_over = make_handover(c, released);
+    l.row_in_flight.number = ++l.last_commit;
     l.encoded_in_flight = encode_fitting_lease(c, l.row_in_flight);
     commit.changes.push_back({lease_key, l.encoded_in_flight});
     begin_handover(c, l.row_in_flight);
-    commit.number = ++l.last_commit;
+    commit.number = l.last_commit;
     l.renewal_in_flight = true;
     l.release_in_flight = released;
     l.renewal_sent_at = c.now;
@@ -257,8 +263,9 @@
 void release_unconfirmed_claim(const context& c)
 {
     lease_state& l = c.s.lease;
-    const bool holds_unconfirmed =
-        l.current_role == role::follower && is_held_by_this_process(c.s) && !l.row->released;
+    const bool holds_unconfirmed = l.current_role == role::follower &&
+                                   is_held_by_this_process(c.s) && !l.row->released &&
+                                   !may_have_granted(*l.row);
     if (holds_unconfirmed && !l.renewal_in_flight && c.now >= l.retry_at) {
         l.term = l.row->term;
         l.retry_at = c.now + config::lease_retry;
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -193,6 +193,17 @@
     send_hold(c, r);
 }
 
+/// \return when to send the next hold after one that was answered. What it waits for sends it
+/// earlier: the store has the consequences of the reported ends, or a row that does not name the
+/// runner.
+instant next_hold_time(const context& c, const runner_record& r)
+{
+    if (r.acknowledged < r.last_processed_end) {
+        return c.now + config::unstored_hold_interval;
+    }
+    return may_grant_leases(c, r) ? c.now : c.now + config::max_hold_retry;
+}
+
 /// Makes the runner available to placement again once its probation has ended.
 void end_probation_when_due(const context& c, runner_record& r)
 {
@@ -325,8 +336,7 @@
     }
     process_hold_report(c, r, e);
     update_acknowledged(c, r);
-    const bool waits_for_store = r.acknowledged < r.last_processed_end || !may_grant_leases(c, r);
-    r.next_hold_at = waits_for_store ? c.now + config::unstored_hold_interval : c.now;
+    r.next_hold_at = next_hold_time(c, r);
     send_hold_if_due(c, r);
 }
 
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -86,7 +86,7 @@
         return false;
     }
     unreserve_run(r, ref, id);
-    const bool fits = is_feasible(c, r, id, ref, runner_requirement::full_speed);
+    const bool fits = is_feasible(c, r, id, ref, runner_requirement::best_effort);
     reserve_for_run(r, ref, id);
     return fits;
 }
@@ -255,13 +255,13 @@
 {
     scheduler_state& s = c.s.scheduler;
     for (auto it = s.unstored_places.begin(); it != s.unstored_places.end();) {
-        if (it->second > s.commits.stored_change) {
+        const auto [id, change] = *it;
+        const task_ref ref = find_task(c.s, id);
+        if (ref && change > ref.job->stored_change) {
             ++it;
             continue;
         }
-        const graph_task_id id = it->first;
         it = s.unstored_places.erase(it);
-        const task_ref ref = find_task(c.s, id);
         if (ref && ref.task->current_run && ref.task->current_run->awaits_store) {
             order_or_release(c, id, ref);
         }
--- a/tests/test_central_codec.cpp
+++ b/tests/test_central_codec.cpp
@@ -153,29 +153,32 @@
 /// `handed_over` yet.
 Test(central_codec, lease_row_of_an_earlier_version_is_read)
 {
-    const lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, true, {}};
+    const lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, true, {}, 0};
     const std::string text = encode_lease(row);
-    const auto without_handover = decode_lease(text.substr(0, text.size() - 2));
+    // Its number, and two marks of a handover that is not set.
+    constexpr std::size_t number_bytes{8};
+    const std::size_t known_bytes = text.size() - number_bytes - 2;
+    const auto without_handover = decode_lease(text.substr(0, known_bytes));
     cr_assert(without_handover.ok());
     cr_assert(without_handover->recovered);
     cr_assert_not(without_handover->handed_over.has_value());
     // What earlier versions hand over is not read.
-    std::string with_earlier_handover = text.substr(0, text.size() - 1);
+    std::string with_earlier_handover = text.substr(0, known_bytes + 1);
     with_earlier_handover.back() = 0;
     cr_assert(decode_lease(with_earlier_handover).ok());
     cr_assert_not(decode_lease(with_earlier_handover)->handed_over.has_value());
-    const auto earlier = decode_lease(text.substr(0, text.size() - 3));
+    const auto earlier = decode_lease(text.substr(0, known_bytes - 1));
     cr_assert(earlier.ok());
     cr_assert_eq(earlier->term.value, 3);
     cr_assert(earlier->released);
     cr_assert_not(earlier->recovered);
     cr_assert(decode_lease(text)->recovered);
-    cr_assert_not(decode_lease(text.substr(0, text.size() - 4)).ok());
+    cr_assert_not(decode_lease(text.substr(0, known_bytes - 2)).ok());
 }
 
 Test(central_codec, lease_row_keeps_what_its_holder_handed_over)
 {
-    lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, false, {}};
+    lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, false, {}, 9};
     const graph_task_id task{{"0123456789abcdef"}, 2, 1, 7};
     row.handed_over = handover{
         {{{"i-1"}, {4'000}, {task}, true}, {{"i-2"}, {100}, {}, false}}, {6'220}, true, true};
@@ -184,6 +187,7 @@
     cr_assert(read->handed_over->earlier_leases_end_within == millis{6'220});
     cr_assert(read->handed_over->may_grant);
     cr_assert(read->handed_over->places_known);
+    cr_assert_eq(read->number, 9);
     const auto& runners = read->handed_over->runners;
     cr_assert_eq(runners.size(), 2);
     cr_assert(runners[0].runner == runner_id{"i-1"});
--- a/tests/test_central_replaced_runners.cpp
+++ b/tests/test_central_replaced_runners.cpp
@@ -86,14 +86,15 @@
     cr_assert_gt(f.w.runner(0).running.size(), 0);
     f.lose_runner(0);
     const instant lost_at = f.w.now();
+    instant end_at = lost_at + until_first_end;
     for (std::size_t i{0}; i < ends; ++i) {
-        const instant end_at = lost_at + until_first_end + time_between_ends * i;
         f.w.run_until(end_at);
         wait_for_scheduler(f);
         if (i > 0) {
             replace_runner(f, i);
         }
         end_scheduler(f, how);
+        end_at = end_at + time_between_ends;
     }
     while (f.running_tasks() < f.tasks() && f.w.now() - lost_at < limit) {
         f.w.run_for(step);
--- a/tests/test_central_takeover.cpp
+++ b/tests/test_central_takeover.cpp
@@ -408,3 +408,110 @@
     cr_assert_eq(w.scheduler().value(), holder);
     expect_no_violation(w);
 }
+
+/// Guards against a holder that takes a row which the feed shows late for a renewal that it sent
+/// after it: it would extend leases for longer than its successor waits.
+Test(central_takeover, a_row_shown_late_counts_from_when_it_was_first_sent)
+{
+    constexpr std::size_t all{3};
+    for (std::uint64_t seed{1}; seed <= 10; ++seed) {
+        central_world w{{.seed = seed, .vms = all}};
+        w.run_for(warm_up);
+        graph_job job = central_world::make_job(id_of(1), 1, 4, {400});
+        job.steps[0].is_service = true;
+        w.submit(0, job);
+        w.run_for({1'000});
+        const std::size_t holder = w.scheduler().value();
+        const lease_state& l = w.state_of(holder).lease;
+        // Only the holder reaches runner 0, and it reaches no other.
+        cr_assert_gt(w.runner(0).running.size(), 0);
+        for (std::size_t vm{0}; vm < all; ++vm) {
+            for (std::size_t i{0}; i < w.runners(); ++i) {
+                if ((vm == holder) != (i == 0)) {
+                    w.faults.unreachable_runner_paths.insert({vm, i});
+                }
+            }
+        }
+        // Its rows do not change any more.
+        w.run_for({4'000});
+        w.faults.lost_commits = 1;
+        const instant before = l.renewal_sent_at;
+        while (l.renewal_sent_at == before) {
+            w.run_for({1});
+        }
+        // Its row is stored; neither the answer nor the feed reaches the holder.
+        w.faults.vms_without_store.insert(holder);
+        w.faults.lost_commits = 0;
+        const instant stored_at = l.renewal_sent_at;
+        const row_version known = l.version;
+        while (!(l.renewal_in_flight && l.renewal_sent_at - stored_at >= millis{1'300}) &&
+               w.now() - stored_at < millis{2'400}) {
+            w.run_for({1});
+        }
+        w.faults.vms_without_store.clear();
+        while (l.version == known && w.now() - stored_at < millis{2'900}) {
+            w.run_for({1});
+        }
+        w.faults.vms_without_store.insert(holder);
+        w.run_for({16'000});
+        expect_no_violation(w);
+    }
+}
+
+namespace {
+
+/// \return the starts of a starved task that uses leftover time beside services on all runners.
+std::uint64_t starts_of_starved(bool is_service)
+{
+    central_world w{{.vms = 3}};
+    w.run_for(warm_up);
+    graph_job hosts = central_world::make_job(id_of(1), 1, 4, {400});
+    hosts.steps[0].is_service = true;
+    hosts.steps[0].task_size = {16'000, 1'000, 0};
+    w.submit(0, hosts);
+    w.run_for({1'000});
+    cr_assert_eq(w.starts(), 4);
+    graph_job starved = central_world::make_job(id_of(2), 1, 1, {400});
+    starved.steps[0].is_service = is_service;
+    starved.steps[0].uses_leftover = true;
+    starved.steps[0].task_size = {16'000, 1'000, 0};
+    w.submit(0, starved);
+    w.run_for({12'000});
+    expect_no_violation(w);
+    return w.starts() - 4;
+}
+
+} // namespace
+
+/// Guards against a service that is placed at best effort, and whose place is given up each time as
+/// it does not fit at full speed.
+Test(central_takeover, a_starved_service_on_leftover_time_starts)
+{
+    cr_expect_gt(starts_of_starved(false), 0, "not a service");
+    cr_expect_gt(starts_of_starved(true), 0, "service");
+}
+
+/// Guards against services of all jobs that wait for the change of one job which the store rejects.
+Test(central_takeover, a_job_that_the_store_rejects_does_not_hold_back_services_of_others)
+{
+    for (const bool is_service : {false, true}) {
+        central_world w{{.vms = 3}};
+        w.run_for(warm_up);
+        graph_job bad = central_world::make_job(id_of(1), 1, 4, {400});
+        bad.steps[0].is_service = true;
+        w.submit(0, bad);
+        w.run_for({1'000});
+        cr_assert_eq(w.starts(), 4);
+        // From now on its progress is rejected; the loss of a run changes it.
+        w.faults.invalid_jobs.insert(id_of(1));
+        w.crash_runner(0);
+        w.run_for({3'000});
+        graph_job other = central_world::make_job(id_of(2), 1, 1, {400});
+        other.steps[0].is_service = is_service;
+        w.submit(0, other);
+        w.run_for({20'000});
+        cr_expect(w.caller(id_of(2)).was_accepted, "accepted, service %d", is_service ? 1 : 0);
+        cr_expect(w.caller(id_of(2)).was_started, "started, service %d", is_service ? 1 : 0);
+        expect_no_violation(w);
+    }
+}
