Placement: starts avoid runners that have gone silent (LOST)

What callers see: a service that has lost its run is started on a runner that has just gone silent, and then stays without a run until the leases there have expired, over 6 s later. A silent runner is noticed up to 4 s late, and looks the emptiest meanwhile, so one service after the other goes there.

Cause: an order that gets no answer, and a report that is overdue, said nothing about the runner for placement; only a hold that was given up did.

Change: such a runner comes last among the feasible ones until it reports.

test_central_silent_runners failed in both cases before and passes.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -96,6 +96,9 @@
 inline constexpr millis disturbed_runner_hold_wait{300};
 /// Timeout for the answer of a runner, in addition to the hold's wait.
 inline constexpr millis runner_timeout{2'000};
+/// A report that comes this much later than its hold's wait is overdue: other runners are preferred
+/// for starts.
+inline constexpr millis report_overdue_time{500};
 inline constexpr millis hold_retry{200};
 inline constexpr millis max_hold_retry{1'000};
 /// Interval of holds while the consequences of reported ends are not stored yet.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -361,6 +361,8 @@
     std::uint32_t holds_failed{0};
     /// The last hold was sent and got no answer.
     bool hold_was_unanswered{false};
+    /// It has left an order without an answer and has reported nothing since.
+    bool has_unanswered_order{false};
     /// Number of the last processed end.
     std::uint64_t last_processed_end{0};
     /// Number of the last end whose consequences are stored.
@@ -381,7 +383,8 @@
     clock_sample last_alive;
     /// The last loss, unless the runner was leaving.
     std::optional<runner_loss> loss;
-    /// When the hold in flight is given up.
+    /// When the wait of the hold in flight ends, and when the hold is given up.
+    instant report_due_at;
     instant hold_times_out_at;
     /// A suspect was started there: nothing else starts before this time, so that a crash can be
     /// attributed. Reset by the first check after it.
--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -131,6 +131,9 @@
             r->last_alive = *r->clock;
         }
     }
+    if (r != nullptr && e.result == order_result::unknown) {
+        r->has_unanswered_order = true;
+    }
     switch (e.kind) {
     case order_kind::start:
         on_start_ended(c, e, r);
--- a/src/central/runner_selector.cpp
+++ b/src/central/runner_selector.cpp
@@ -75,6 +75,8 @@
 
 /// Score of a runner for a task. Compared member by member in this order; higher is better.
 struct placement_score {
+    /// A start on a runner that has gone silent blocks its task until the leases there expire.
+    bool is_answering{false};
     bool is_other_than_failed{false};
     /// Only for suspects: no other run there could have caused a crash, and the negative number of
     /// runs that a crash would take down.
@@ -97,10 +99,20 @@
     return same - others;
 }
 
+/// \return false if the runner has left an order without an answer, or its report is overdue, and
+/// it has not been lost yet.
+bool is_answering(const context& c, const runner_record& r)
+{
+    const bool is_overdue =
+        r.hold_in_flight && c.now > r.report_due_at + config::report_overdue_time;
+    return !r.has_unanswered_order && !is_overdue;
+}
+
 placement_score score(const context& c, const runner_record& r, const task_ref& ref)
 {
     const graph_step& step = *ref.step;
     placement_score s;
+    s.is_answering = is_answering(c, r);
     s.is_other_than_failed = r.entry.id != ref.task->failed_on;
     if (ref.task->crashes.is_suspect) {
         s.is_crash_attributable = crash_suspects(c, r).empty();
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -63,7 +63,8 @@
         has_current_clock && r.acknowledged > r.acknowledgement_delivered;
     r.acknowledgement_sent = is_new_acknowledgement ? r.acknowledged : 0;
     r.hold_in_flight = true;
-    r.hold_times_out_at = c.now + wait + config::runner_timeout;
+    r.report_due_at = c.now + wait;
+    r.hold_times_out_at = r.report_due_at + config::runner_timeout;
     ++r.holds_sent;
     c.add(runner_hold{r.entry.id, r.entry.address, c.s.lease.term, until, r.acknowledgement_sent,
                       wait, wait + config::runner_timeout, r.hold_was_unanswered});
@@ -151,6 +152,7 @@
     update_handover(c, r);
     r.holds_failed = 0;
     r.hold_was_unanswered = false;
+    r.has_unanswered_order = false;
     for (const reported_end& end : e.ended) {
         if (end.number > r.last_processed_end) {
             process_reported_end(c, r, end);
--- a/tests/central/fake_runner.cpp
+++ b/tests/central/fake_runner.cpp
@@ -37,6 +37,14 @@
     }
 }
 
+void fake_runner::fail(const graph_task_id& task, instant now)
+{
+    advance(now);
+    if (running.contains(task)) {
+        end(graph_task_id{task}, end_cause::failed, now);
+    }
+}
+
 order_result fake_runner::handle(const runner_order& order, const task_behaviour& behaviour,
                                  instant now)
 {
