Handover: rows of the lease tell of runners whose report is overdue (LOST)

What callers see: a service has no run for up to 11 s after its runner has gone silent, if the VM that schedules loses the store 1.5 to 4 s later.

Cause: a silent runner was told of in the lease's row only once its hold was given up, up to 4 s after its last sign of life. If the store is away by then, the successor knows nothing of it and keeps its services back until the longest lease of any former holder has ended, 12.2 s after the last renewal.

Change: a report that is half a second late marks its runner; the next row tells of it, as of a lost one, and takes that back with its next report. A check that is late itself marks nobody, as reports may be waiting. Starts use the same mark. Orders that could not be sent count like unanswered ones. The line runner_overdue shows it.

A mark that is never taken back is now noticed by services_start_on_a_runner_that_reports_again.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -19,8 +19,8 @@
 inline constexpr millis lease_length{3'000};
 inline constexpr millis lease_renewal{1'000};
 inline constexpr millis lease_retry{200};
-/// Minimum time between two renewals if the later one is early because a runner was lost; or
-/// because one was found or a new holder is ready, as leases are not extended until then, or
+/// Minimum time between two renewals if the later one is early because a runner was lost or its
+/// report is overdue; or because one was found or a new holder is ready, as leases are not extended until then, or
 /// because leases of a lost runner have expired.
 inline constexpr millis renewal_after_loss{500};
 inline constexpr millis renewal_after_find{50};
@@ -96,9 +96,10 @@
 inline constexpr millis disturbed_runner_hold_wait{300};
 /// Timeout for the answer of a runner, in addition to the hold's wait.
 inline constexpr millis runner_timeout{2'000};
-/// A report that comes this much later than its hold's wait is overdue: other runners are preferred
-/// for starts.
+/// A report that comes this much later than its hold's wait is overdue. A check of the runners that
+/// comes this late itself cannot tell.
 inline constexpr millis report_overdue_time{500};
+inline constexpr millis max_check_delay{300};
 inline constexpr millis hold_retry{200};
 inline constexpr millis max_hold_retry{1'000};
 /// Interval of holds while the consequences of reported ends are not stored yet.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -361,8 +361,10 @@
     std::uint32_t holds_failed{0};
     /// The last hold was sent and got no answer.
     bool hold_was_unanswered{false};
-    /// It has left an order without an answer and has reported nothing since.
+    /// An order to it was not answered or not sent, and it has reported nothing since.
     bool has_unanswered_order{false};
+    /// Its report is overdue: it may have gone silent, and a successor is told of it.
+    bool is_overdue{false};
     /// Number of the last processed end.
     std::uint64_t last_processed_end{0};
     /// Number of the last end whose consequences are stored.
@@ -597,6 +599,8 @@
 struct scheduler_state {
     std::unordered_map<job_id, job_record, id_hash> jobs;
     std::map<runner_id, runner_record> runners;
+    /// When the runners were last checked.
+    instant runners_checked_at;
     std::set<ready_key> ready;
     /// Number of jobs in each queue of which no task has started yet.
     std::map<queue_id, std::uint64_t> pending;
--- a/src/central/handover.cpp
+++ b/src/central/handover.cpp
@@ -44,10 +44,11 @@
     return h;
 }
 
-/// \return true if the successor is told of the runner.
+/// \return true if the successor is told of the runner. It is told of an overdue one, too: the
+/// store may be away when its silence is certain.
 bool is_unreported(const runner_record& r)
 {
-    return r.stored && !r.is_responsive;
+    return r.stored && (!r.is_responsive || r.is_overdue);
 }
 
 unreported_runner unreported_runner_of(const context& c, const runner_record& r)
@@ -170,11 +171,11 @@
 void update_handover(const context& c, const runner_record& r)
 {
     lease_state& l = c.s.lease;
-    if (l.runners_in_row.contains(r.entry.id) == is_unreported(r)) {
+    const bool is_told = is_unreported(r);
+    if (l.runners_in_row.contains(r.entry.id) == is_told) {
         return;
     }
-    const millis interval =
-        r.is_responsive ? config::renewal_after_find : config::renewal_after_loss;
+    const millis interval = is_told ? config::renewal_after_loss : config::renewal_after_find;
     renew_early(c, l.renewal_sent_at + interval);
 }
 
--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -131,7 +131,9 @@
             r->last_alive = *r->clock;
         }
     }
-    if (r != nullptr && e.result == order_result::unknown) {
+    const bool is_unanswered =
+        e.result == order_result::unknown || e.result == order_result::not_sent;
+    if (r != nullptr && is_unanswered) {
         r->has_unanswered_order = true;
     }
     switch (e.kind) {
--- a/src/central/runner_selector.cpp
+++ b/src/central/runner_selector.cpp
@@ -99,20 +99,11 @@
     return same - others;
 }
 
-/// \return false if the runner has left an order without an answer, or its report is overdue, and
-/// it has not been lost yet.
-bool is_answering(const context& c, const runner_record& r)
-{
-    const bool is_overdue =
-        r.hold_in_flight && c.now > r.report_due_at + config::report_overdue_time;
-    return !r.has_unanswered_order && !is_overdue;
-}
-
 placement_score score(const context& c, const runner_record& r, const task_ref& ref)
 {
     const graph_step& step = *ref.step;
     placement_score s;
-    s.is_answering = is_answering(c, r);
+    s.is_answering = !r.has_unanswered_order && !r.is_overdue;
     s.is_other_than_failed = r.entry.id != ref.task->failed_on;
     if (ref.task->crashes.is_suspect) {
         s.is_crash_attributable = crash_suspects(c, r).empty();
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -4,6 +4,7 @@
 #include "handover.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -149,6 +150,7 @@
         log_runner(c, "runner_found", r, absl::StrCat("runs reported ", e.running.size()));
     }
     r.is_responsive = true;
+    r.is_overdue = false;
     update_handover(c, r);
     r.holds_failed = 0;
     r.hold_was_unanswered = false;
@@ -237,6 +239,19 @@
     }
 }
 
+/// Marks a runner whose report is overdue, so that a successor is told of it before the hold is
+/// given up.
+void mark_if_overdue(const context& c, runner_record& r)
+{
+    const bool is_due = r.is_responsive && r.hold_in_flight &&
+                        c.now > r.report_due_at + config::report_overdue_time;
+    if (is_due && !r.is_overdue) {
+        r.is_overdue = true;
+        log_runner(c, "runner_overdue", r, "");
+        update_handover(c, r);
+    }
+}
+
 /// \return true if the runner is unlisted, unresponsive and without runs: either it has reported
 /// its runs in this term and all of them ended, or all leases have expired.
 bool can_remove_runner(const runner_record& r, instant renewed_at)
@@ -361,10 +376,16 @@
         return;
     }
     repeat_unconfirmed_stops(c);
+    const instant last_check = std::exchange(c.s.scheduler.runners_checked_at, c.now);
+    // After a pause of this process, reports may be waiting that it has not read.
+    const bool is_late = c.now - last_check > config::max_check_delay;
     auto& runners = c.s.scheduler.runners;
     for (auto it = runners.begin(); it != runners.end();) {
         runner_record& r = it->second;
         drop_runs_with_expired_leases(c, r);
+        if (!is_late) {
+            mark_if_overdue(c, r);
+        }
         pause_if_reports_are_overdue(c, r);
         end_probation_when_due(c, r);
         if (!c.s.scheduler.recovering && can_remove_runner(r, c.s.lease.renewed_at)) {
--- a/tests/test_central_silent_runners.cpp
+++ b/tests/test_central_silent_runners.cpp
@@ -78,3 +78,19 @@
     cr_expect(runs_on_reachable_runner(f, task));
     expect_no_violation(f.w);
 }
+
+/// Guards against a runner that is avoided for good after one order without an answer.
+Test(central_silent_runners, services_start_on_a_runner_that_reports_again)
+{
+    service_fixture f{1};
+    make_largest(f, silent);
+    f.w.faults.unreachable_runners.insert(silent);
+    fail_service(f, sound);
+    f.w.run_for(order_timeout + millis{100});
+    f.w.faults.unreachable_runners.erase(silent);
+    f.w.run_for(config::hold_wait + config::runner_timeout + millis{1'000});
+    const graph_task_id task = fail_service(f, sound);
+    f.w.run_for(restart_time);
+    cr_expect(f.w.runner(silent).running.contains(task));
+    expect_no_violation(f.w);
+}
