--- a/tests/central/service_fixture.h
+++ b/tests/central/service_fixture.h
@@ -2,6 +2,7 @@
 /// A world in which services run on all runners.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 #include <criterion/criterion.h>
@@ -21,11 +22,14 @@
 
     central_world w;
 
-    explicit service_fixture(std::uint64_t seed) : w{{.seed = seed, .vms = vms, .runners = runners}}
+    /// \param run_time estimate of the services' run time; later jobs with a shorter one are more
+    /// urgent.
+    explicit service_fixture(std::uint64_t seed, millis run_time = {400})
+        : w{{.seed = seed, .vms = vms, .runners = runners}}
     {
         w.run_for(warm_up);
         for (std::uint64_t n{1}; n <= services; ++n) {
-            graph_job job = central_world::make_job(id_of(n), 1, tasks_of_service, {400});
+            graph_job job = central_world::make_job(id_of(n), 1, tasks_of_service, run_time);
             job.steps[0].is_service = true;
             w.submit(n % 3, job);
         }
@@ -36,13 +40,22 @@
     /// \return the number of all service tasks.
     static constexpr std::size_t tasks() { return services * tasks_of_service; }
 
-    /// \return the number of tasks that run on runners that can be reached.
+    /// \return the number of service tasks that run on a runner.
+    std::size_t services_on(std::size_t i)
+    {
+        const auto& running = w.runner(i).running;
+        return static_cast<std::size_t>(
+            std::count_if(running.begin(), running.end(),
+                          [](const auto& each) { return each.second.behaviour.is_service; }));
+    }
+
+    /// \return the number of service tasks that run on runners that can be reached.
     std::size_t running_tasks()
     {
         std::size_t running{0};
         for (std::size_t i{0}; i < runners; ++i) {
             const bool is_gone = !w.runner(i).is_up || w.faults.unreachable_runners.contains(i);
-            running += is_gone ? 0 : w.runner(i).running.size();
+            running += is_gone ? 0 : services_on(i);
         }
         return running;
     }
