Services that have lost their runs are placed first, and room is kept for them

Placement served steps by priority and deadline, so older, overdue or small batch tasks took each bit of room.

A pass before each placement round offers the services that ran before and have no run to all runners. Exhausted rounds and pauses between rounds do not delay it; it waits only until its own last cost is paid. For one that fits nowhere, room is kept on the runner that is expected to have it first, in no dimension more than the task needs. The line service_waits names the longest wait of over 1 s and what withholds the runners. Batch is not preempted.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -172,6 +172,18 @@
 /// Users consider a job forgotten after 3 s.
 inline constexpr millis starvation_timeout{1'500};
 
+// Services that ran before and have no run.
+/// Placement offers them to the runners at least this often.
+inline constexpr millis service_check_period{100};
+/// Runners for which it estimates when they have room for one of them: those that lack the least.
+inline constexpr std::size_t max_estimated_runners{16};
+/// Another runner may be chosen when the room that is kept does not suffice this long after the
+/// estimated time.
+inline constexpr millis room_estimate_margin{100};
+/// A wait of this length is logged, one at most in each period.
+inline constexpr millis logged_service_wait{1'000};
+inline constexpr millis service_wait_log_period{1'000};
+
 // Disturbance of services by leftover tasks (tasks that use only spare processor time).
 /// Cores of a reference runner. Processor use is scaled to it, as the same use disturbs less on a
 /// larger runner.
--- a/include/cuminmoor/central/event.h
+++ b/include/cuminmoor/central/event.h
@@ -288,6 +288,8 @@
     remote_instant lease_until;
     /// pace: percent of full speed.
     std::uint32_t percent{100};
+    /// start of a service task that ran before: time from the end of its last run. For metrics.
+    std::optional<millis> waited{};
 };
 
 /// Event: the result of an order.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -144,6 +144,9 @@
     /// No unreported run of an earlier term can remain: a runner reported it running in this term,
     /// it was started in this term, or it could not have been started before.
     bool is_reconciled{false};
+    /// Of a service task that ran before and has no run: since when, as far as this holder of the
+    /// lease knows; not stored.
+    std::optional<instant> without_run_since;
     /// Set exactly while `status` is active, or until the stopped run of an ended job has ended.
     std::optional<run> current_run;
 };
@@ -242,6 +245,13 @@
     auto operator<=>(const ready_key&) const = default;
 };
 
+/// A service task that ran before and has no run, see reservations.cpp.
+struct waiting_service {
+    /// Runner on which room is kept for it, and when it is expected to suffice; empty: none.
+    runner_id kept_on;
+    instant expected_room_at;
+};
+
 // ---- Runners -------------------------------------------------------------------------------
 
 /// A reading of a runner's clock: at local time `seen_at` it showed at least `shown`.
@@ -286,6 +296,7 @@
     resources capacity;
     resources reserved;
     std::size_t runs{0};
+    resources kept_for_services;
     std::int64_t leftover_milli_cores{0};
     std::int64_t service_milli_cores{0};
     std::uint32_t benign_pace{0};
@@ -338,6 +349,9 @@
     /// Processor time declared by its service tasks, in thousandths of a core: total and by image.
     std::int64_t service_milli_cores{0};
     std::map<image_number, std::int64_t> service_milli_cores_by_image;
+    /// Free room that is kept for waiting services, see reservations.cpp; no other task starts in
+    /// it.
+    resources kept_for_services;
     /// Expected rise of the tail latency of its services, in percent of their target, caused by
     /// leftover tasks at full speed: by benign tasks and by antagonists. Antagonists are leftover
     /// tasks with a high expected rise, see `is_antagonist`. The most affected service image
@@ -595,6 +609,16 @@
     std::unordered_map<job_id, job_record, id_hash> jobs;
     std::map<runner_id, runner_record> runners;
     std::set<ready_key> ready;
+    /// Contains each ready service task that ran before, but for gangs.
+    std::map<graph_task_id, waiting_service> waiting_services;
+    /// They are to be placed: capacity may have been freed since they were offered to the runners.
+    bool services_due{false};
+    /// Room is kept on some runner.
+    bool keeps_room{false};
+    /// Earliest time at which they are offered again, given the cost of the last time, and latest.
+    instant next_services_at;
+    instant services_check_at;
+    instant service_wait_logged_at;
     /// Number of jobs in each queue of which no task has started yet.
     std::map<queue_id, std::uint64_t> pending;
     commit_state commits;
--- a/src/central/jobs.cpp
+++ b/src/central/jobs.cpp
@@ -33,11 +33,6 @@
     return millis{static_cast<std::int64_t>(chain * queue_settings.stretch)} + queue_settings.slack;
 }
 
-ready_key ready_key_of(const job_record& job, const graph_task_id& id)
-{
-    return {job.queue_settings.priority, job.deadline, id.job, id.occurrence, id.step};
-}
-
 /// Marks the blocked tasks of a step as ready.
 /// \param is_reconciled whether to flag the tasks as reconciled, see `task_record`.
 void mark_step_ready(const context& c, job_record& job, std::uint32_t occurrence,
@@ -206,6 +201,7 @@
             c.s.scheduler.ready.erase(key);
             auto& tasks = steps[step].tasks;
             for (std::uint32_t i{0}; i < tasks.size(); ++i) {
+                remove_waiting_service(c, {job.spec.id, k, step, i});
                 if (tasks[i].current_run) {
                     stop_run(c, {job.spec.id, k, step, i}, *tasks[i].current_run);
                 }
@@ -234,6 +230,11 @@
 
 } // namespace
 
+ready_key ready_key_of(const job_record& job, const graph_task_id& id)
+{
+    return {job.queue_settings.priority, job.deadline, id.job, id.occurrence, id.step};
+}
+
 task_ref find_task(central_state& s, const graph_task_id& id)
 {
     const auto found = s.scheduler.jobs.find(id.job);
@@ -332,6 +333,7 @@
     if (ref.progress->ready++ == 0) {
         c.s.scheduler.ready.insert(ready_key_of(*ref.job, id));
     }
+    add_waiting_service(c, id, ref);
     c.s.scheduler.placement_due = true;
 }
 
@@ -340,6 +342,7 @@
     if (ref.task->status != task_status::ready) {
         return;
     }
+    remove_waiting_service(c, id);
     if (--ref.progress->ready == 0) {
         c.s.scheduler.ready.erase(ready_key_of(*ref.job, id));
     }
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -94,6 +94,8 @@
 void init_occurrence(job_record& job, std::uint32_t occurrence);
 /// Marks the tasks of all steps without unfinished dependencies as ready.
 void mark_ready_steps(const context& c, job_record& job);
+/// \return the key of the step to which the task belongs.
+ready_key ready_key_of(const job_record& job, const graph_task_id& id);
 /// Makes a task available to placement.
 void mark_task_ready(const context& c, const graph_task_id& id, task_ref ref);
 /// Withdraws a ready task from placement; no effect on other tasks.
@@ -193,6 +195,21 @@
 void process_reported_end(const context& c, runner_record& r, const reported_end& e);
 void process_reported_runs(const context& c, runner_record& r, const runner_hold_ended& report);
 
+// ---- reservations.cpp: services that ran before and have no run
+/// \return true if the task is of a service and ran before. Room that is kept does not hold it off.
+bool is_returning_service(const task_ref& ref);
+/// Adds a ready task to the waiting services; no effect on tasks that are none.
+void add_waiting_service(const context& c, const graph_task_id& id, const task_ref& ref);
+/// Removes a task that is not ready any more.
+void remove_waiting_service(const context& c, const graph_task_id& id);
+/// \return the waiting services that may start now, most urgent steps first.
+std::vector<graph_task_id> startable_services(const context& c);
+/// Keeps room for services that no runner can take now: each on one runner, no more than it needs.
+void keep_room(const context& c, const std::vector<runner_record*>& runners,
+               const std::vector<graph_task_id>& services);
+/// Logs the longest wait, and what withholds the runners, from time to time.
+void log_waiting_services(const context& c);
+
 // ---- placement.cpp
 /// Starts ready tasks on feasible runners, most urgent steps first.
 void place_ready_tasks(const context& c);
@@ -212,6 +229,10 @@
     best_effort,
 };
 
+/// \return true if the runner has the label that the task requires, and serves its queue.
+bool meets_label(const runner_record& r, const task_ref& ref);
+/// \return true if all but the room on the runner permits the task.
+bool meets_constraints(const runner_record& r, const graph_task_id& id, const task_ref& ref);
 /// \return true if a schedulable runner can take the task.
 bool is_feasible(const context& c, const runner_record& r, const graph_task_id& id,
                  const task_ref& ref, runner_requirement requirement);
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -56,9 +56,11 @@
 
 runner_offer offer_of(const runner_record& r)
 {
-    return {r.entry.capacity,         r.reserved,    r.runs.size(),         r.leftover_milli_cores,
-            r.service_milli_cores,    r.benign_pace, r.latency_rise_budget, r.benign_latency_rise,
-            r.antagonist_latency_rise};
+    return {r.entry.capacity,       r.reserved,
+            r.runs.size(),          r.kept_for_services,
+            r.leftover_milli_cores, r.service_milli_cores,
+            r.benign_pace,          r.latency_rise_budget,
+            r.benign_latency_rise,  r.antagonist_latency_rise};
 }
 
 /// Finds the runners to offer to steps that were rejected before: as many as keep the round within
@@ -162,6 +164,12 @@
     return nullptr;
 }
 
+void start_task(const context& c, const graph_task_id& id, const task_ref& ref, runner_record& r)
+{
+    begin_suspect_run(c, ref);
+    start_run(c, id, ref, r, next_run_number(c, *ref.task));
+}
+
 /// Starts the task if it is ready.
 /// \return false if no runner is feasible; then none is feasible for the step's other tasks either.
 bool place_task(placement_round& round, const graph_task_id& id,
@@ -177,8 +185,7 @@
     if (r == nullptr) {
         return false;
     }
-    begin_suspect_run(c, ref);
-    start_run(c, id, ref, *r, next_run_number(c, *ref.task));
+    start_task(c, id, ref, *r);
     return true;
 }
 
@@ -331,7 +338,8 @@
     }
     const auto& tasks = first.progress->tasks;
     for (id.index = 0; id.index < tasks.size(); ++id.index) {
-        const bool is_ready = tasks[id.index].status == task_status::ready;
+        const bool is_ready = tasks[id.index].status == task_status::ready &&
+                              !round.c.s.scheduler.waiting_services.contains(id);
         if (is_ready && !place_task(round, id)) {
             start_if_starved(round, id, *first.job);
             return;
@@ -339,12 +347,71 @@
     }
 }
 
+/// Offers the waiting services to all runners.
+/// \return those that no runner can take now.
+std::vector<graph_task_id> place_services(const context& c,
+                                          const std::vector<runner_record*>& runners)
+{
+    runner_selector selector{c};
+    std::vector<graph_task_id> rejected;
+    for (const graph_task_id& id : startable_services(c)) {
+        const task_ref ref = find_task(c.s, id);
+        // No runner is feasible for the step's other tasks either.
+        const bool is_step_rejected = !rejected.empty() && rejected.back().job == id.job &&
+                                      rejected.back().occurrence == id.occurrence &&
+                                      rejected.back().step == id.step;
+        runner_record* const r =
+            is_step_rejected ? nullptr : selector.select_runner(runners, id, ref);
+        if (r != nullptr) {
+            start_task(c, id, ref, *r);
+        }
+        else {
+            rejected.push_back(id);
+        }
+    }
+    return rejected;
+}
+
+/// Places the services that ran before and have no run. Bounds of the rounds do not delay them, but
+/// only the cost of having offered them before.
+void place_waiting_services(const context& c)
+{
+    scheduler_state& s = c.s.scheduler;
+    if (s.waiting_services.empty() && !s.keeps_room) {
+        s.services_due = false;
+        return;
+    }
+    s.services_due = s.services_due || s.placement_due || c.now >= s.services_check_at;
+    if (!s.services_due) {
+        c.wake_by(s.services_check_at);
+        return;
+    }
+    if (c.now < s.next_services_at) {
+        c.wake_by(s.next_services_at);
+        return;
+    }
+    s.services_due = false;
+    const std::uint64_t scored_before = s.runners_scored;
+    const std::vector<runner_record*> runners = schedulable_runners(c);
+    keep_room(c, runners, place_services(c, runners));
+    log_waiting_services(c);
+    const millis cost = time_for_scoring(c.s, s.runners_scored - scored_before);
+    s.next_services_at = c.now + std::min(cost, config::max_placement_pause);
+    s.services_check_at = c.now + config::service_check_period;
+    c.wake_by(s.services_check_at);
+}
+
 } // namespace
 
 void place_ready_tasks(const context& c)
 {
     scheduler_state& s = c.s.scheduler;
-    if (!c.is_scheduler() || !s.placement_due || !may_send_orders(c) || c.s.lease.releasing) {
+    if (!c.is_scheduler() || !may_send_orders(c) || c.s.lease.releasing) {
+        return;
+    }
+    place_waiting_services(c);
+    // What is free is theirs first.
+    if (!s.placement_due || s.services_due) {
         return;
     }
     const instant next =
--- a/src/central/runner_selector.cpp
+++ b/src/central/runner_selector.cpp
@@ -57,13 +57,15 @@
                   runner_requirement requirement)
 {
     const graph_step& step = *ref.step;
+    const resources kept = is_returning_service(ref) ? resources{} : r.kept_for_services;
+    const resources taken = r.reserved + kept;
     if (!step.uses_leftover) {
-        return (r.reserved + step.task_size).fits(r.entry.capacity);
+        return (taken + step.task_size).fits(r.entry.capacity);
     }
     resources size = step.task_size;
     const std::int64_t min_milli_cores = size.milli_cores * config::min_leftover_percent / 100;
     size.milli_cores = 0;
-    const bool has_memory = (r.reserved + size).fits(r.entry.capacity);
+    const bool has_memory = (taken + size).fits(r.entry.capacity);
     if (requirement == runner_requirement::best_effort) {
         return has_memory && spare_milli_cores(r) > 0;
     }
@@ -132,15 +134,24 @@
     return runners;
 }
 
+bool meets_label(const runner_record& r, const task_ref& ref)
+{
+    const std::string& label = ref.step->required_label;
+    return r.entry.service == ref.job->queue_settings.service &&
+           (label.empty() || has_label(r.entry, label));
+}
+
+bool meets_constraints(const runner_record& r, const graph_task_id& id, const task_ref& ref)
+{
+    const std::uint32_t most = ref.step->max_per_runner;
+    return meets_label(r, ref) && (most == 0 || count_of_step(r, id) < most);
+}
+
 bool is_feasible(const context& c, const runner_record& r, const graph_task_id& id,
                  const task_ref& ref, runner_requirement requirement)
 {
-    const graph_step& step = *ref.step;
-    const bool has_required_label =
-        step.required_label.empty() || has_label(r.entry, step.required_label);
-    return !r.probation_until && r.entry.service == ref.job->queue_settings.service &&
-           has_required_label && has_capacity(c, r, ref, requirement) &&
-           (step.max_per_runner == 0 || count_of_step(r, id) < step.max_per_runner);
+    return !r.probation_until && has_capacity(c, r, ref, requirement) &&
+           meets_constraints(r, id, ref);
 }
 
 runner_selector::requirement_key runner_selector::requirement_key_of(const task_ref& ref,
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -7,6 +7,7 @@
 #include "runs.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 
@@ -70,6 +71,9 @@
     order.payload = ref.job->spec.payload;
     order.checkpoint = ref.task->checkpoint;
     order.lease_until = grant_lease(c, r).value_or(remote_instant{});
+    if (const auto since = std::exchange(ref.task->without_run_since, std::nullopt)) {
+        order.waited = c.now - *since;
+    }
     log_run(c, "run_started", id, started, order.checkpoint.empty() ? "fresh" : "resumed");
     if (ref.task->crashes.is_suspect) {
         r.probation_until = c.now + config::crash_probation;
@@ -217,6 +221,10 @@
         unreserve_run(*r, ref, id);
     }
     forget_stop(c, id, *ref.task->current_run);
+    const bool was_ordered = !ref.task->current_run->awaits_store;
+    if (ref.step->is_service && was_ordered) {
+        ref.task->without_run_since = c.now;
+    }
     ref.task->current_run.reset();
     forget_place(c, ref);
     end_suspect_run(c, ref);
