--- a/daemon/central_metrics.cpp
+++ b/daemon/central_metrics.cpp
@@ -54,6 +54,7 @@
     ms_histogram peer_call_held{bh::make_histogram(bh::axis::variable<>(bucket_bounds_ms))};
     ms_histogram peer_round_trip{bh::make_histogram(bh::axis::variable<>(bucket_bounds_ms))};
     ms_histogram cancel_wait{bh::make_histogram(bh::axis::variable<>(bucket_bounds_ms))};
+    ms_histogram service_wait{bh::make_histogram(bh::axis::variable<>(bucket_bounds_ms))};
 };
 
 central_metrics::central_metrics() : histograms_{std::make_unique<histograms>()} {}
@@ -147,6 +148,9 @@
     increment(std::string{central::name_of(e.kind)} + "s");
     if (e.kind == central::order_kind::start) {
         start_sent_at_[{e.task, e.run}] = now;
+        if (e.waited) {
+            histograms_->service_wait(static_cast<double>(e.waited->count));
+        }
     }
 }
 
@@ -183,6 +187,7 @@
     write_histogram(out, "peer_call_held", histograms_->peer_call_held);
     write_histogram(out, "peer_round_trip", histograms_->peer_round_trip);
     write_histogram(out, "cancel_wait", histograms_->cancel_wait);
+    write_histogram(out, "service_wait", histograms_->service_wait);
     return out.str();
 }
 
--- a/tests/test_central_services_first.cpp
+++ b/tests/test_central_services_first.cpp
@@ -2,6 +2,8 @@
 /// Services that have lost their runs, beside a backlog of batch tasks that takes all room as it
 /// comes free.
 #include <cstdint>
+#include <string>
+#include <vector>
 
 #include <criterion/criterion.h>
 
@@ -161,3 +163,32 @@
         cr_expect_leq(time_until_all_run(how, 1).count, (until_taken_over + start_time).count);
     }
 }
+
+/// Guards against long waits of services of which no line tells, and against a line for each round.
+Test(central_services_first, long_wait_is_logged_once_a_second)
+{
+    constexpr millis long_run{30'000};
+    constexpr millis observed{5'000};
+    service_fixture f{1};
+    graph_job batch =
+        central_world::make_job(id_of(service_fixture::services + 1), 1, 200, long_run);
+    batch.steps[0].task_size = {500, 500, 0};
+    f.w.submit(0, batch);
+    f.w.run_for(start_time);
+    std::vector<std::string> lines;
+    f.w.log_to = [&](const std::string& line) {
+        if (line.find(" service_waits ") != std::string::npos) {
+            lines.push_back(line);
+        }
+    };
+    f.w.drain_runner(0);
+    f.w.run_for(observed);
+    cr_assert_lt(f.running_tasks(), f.tasks());
+    const auto seconds = static_cast<std::size_t>(observed.count / start_time.count);
+    cr_expect_leq(lines.size(), seconds);
+    cr_assert_geq(lines.size(), seconds - 1);
+    for (const char* const field : {"task_withheld=none", "room=5 ", "limit=0 ", "unusable=1"}) {
+        cr_expect(lines[0].find(field) != std::string::npos, "%s in %s", field, lines[0].c_str());
+    }
+    expect_no_violation(f.w);
+}
--- a/tests/test_daemon_central_peers.cpp
+++ b/tests/test_daemon_central_peers.cpp
@@ -139,6 +139,21 @@
     }
 }
 
+Test(central_metrics, starts_of_services_that_ran_before_show_their_wait)
+{
+    io::central_metrics metrics;
+    central::runner_order start;
+    metrics.record(start, cm::instant{1'000});
+    start.waited = cm::millis{1'500};
+    metrics.record(start, cm::instant{1'000});
+    io::system_clock clock;
+    const std::string text = metrics.render({}, io::line_log{clock, "vm1", "fd1"});
+    for (const std::string line :
+         {"service_wait_ms_bucket{le=\"1000\"} 0", "service_wait_ms_bucket{le=\"2000\"} 1"}) {
+        cr_assert(text.find("cuminmoor_" + line + "\n") != std::string::npos, "%s", line.c_str());
+    }
+}
+
 /// Queries that hang at the scheduler's VM take all other connections.
 Test(central_peers, cancellation_does_not_wait_for_queries_that_hang)
 {
