Simulated runner: orders and leases belong to one incarnation

Cause: the simulated runner took a lease, or executed an order, that was sent to its former incarnation. On the restarted clock that lease lasts seconds longer than the scheduler computes. A real runner answers 421 to calls for another incarnation, and the product sends the header.

Change: orders and holds carry the incarnation that the VM last heard of; another incarnation answers other_incarnation and does nothing. A hold without lease and acknowledgement is answered by any, as a restarted runner keeps its id in this world and would never be found again otherwise. No check has changed.

--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -731,7 +731,16 @@
     task.failures_acknowledged += e.cause == end_cause::failed ? 1 : 0;
 }
 
-void central_world::deliver_order(std::size_t vm, const runner_order& order, bool is_answered,
+runner_incarnation central_world::known_incarnation(std::size_t vm, const runner_id& runner) const
+{
+    const auto& known = vms_[vm].state.scheduler.runners;
+    const auto found = known.find(runner);
+    return found == known.end() ? runners_[index_of(runner)].incarnation()
+                                : runner_incarnation{found->second.entry.started_at_ms};
+}
+
+void central_world::deliver_order(std::size_t vm, const runner_order& order,
+                                  runner_incarnation intended, bool is_answered,
                                   std::uint64_t incarnation)
 {
     const std::size_t runner = index_of(order.runner);
@@ -746,7 +755,7 @@
     }
     fake_runner& r = runners_[runner];
     const bool was_running = r.running.contains(order.task);
-    const order_result result = r.handle(order, behaviour_of(order), now_);
+    const order_result result = r.handle(order, intended, behaviour_of(order), now_);
     const bool has_started =
         order.kind == order_kind::start && result == order_result::done && !was_running;
     if (has_started) {
@@ -791,12 +800,12 @@
     const bool is_lost = is_late || chance(faults.lost_orders);
     constexpr std::int64_t longest_delay_ms{9'000};
     const millis late{2'000 + static_cast<std::int64_t>(random_() % longest_delay_ms)};
+    const runner_incarnation intended = known_incarnation(vm, e.runner);
     // A delayed order is dropped if the runner restarts meanwhile.
-    const instant started_at = runners_[index_of(e.runner)].started_at;
     schedule(now_ + (is_late ? late : network_time),
-             [this, vm, e, is_lost, is_late, started_at, incarnation] {
-                 if (!is_late || runners_[index_of(e.runner)].started_at == started_at) {
-                     deliver_order(vm, e, !is_lost, incarnation);
+             [this, vm, e, is_lost, is_late, intended, incarnation] {
+                 if (!is_late || runners_[index_of(e.runner)].incarnation() == intended) {
+                     deliver_order(vm, e, intended, !is_lost, incarnation);
                  }
              });
     if (is_lost) {
@@ -813,22 +822,32 @@
     if (faults.kept_connections_are_silent && e.fresh_connection) {
         fresh_connections_.emplace(vm, e.runner);
     }
-    schedule(now_ + network_time, [this, vm, incarnation, e] {
-        if (!can_reach(vm, index_of(e.runner)) || is_silent(vm, e)) {
-            runner_hold_ended failed;
-            failed.runner = e.runner;
-            failed.term = e.term;
-            const bool refuses =
-                crash_breaks_connections && crashed_runners_.contains(index_of(e.runner));
-            schedule_event(vm, incarnation, refuses ? network_time : e.timeout, failed);
-            return;
-        }
-        // Leases are extended when the hold arrives, not when it is answered.
-        fake_runner& r = runners_[index_of(e.runner)];
-        runner_hold arrived = e;
-        r.handle(arrived, now_);
-        holds_.push_back({vm, incarnation, e, now_, now_ + e.wait, r.started_at});
-    });
+    schedule(now_ + network_time,
+             [this, vm, incarnation, intended = known_incarnation(vm, e.runner), e] {
+                 deliver_hold(vm, e, intended, incarnation);
+             });
+}
+
+void central_world::deliver_hold(std::size_t vm, const runner_hold& hold,
+                                 runner_incarnation intended, std::uint64_t incarnation)
+{
+    const std::size_t runner = index_of(hold.runner);
+    if (!can_reach(vm, runner) || is_silent(vm, hold)) {
+        runner_hold_ended failed;
+        failed.runner = hold.runner;
+        failed.term = hold.term;
+        const bool refuses = crash_breaks_connections && crashed_runners_.contains(runner);
+        schedule_event(vm, incarnation, refuses ? network_time : hold.timeout, failed);
+        return;
+    }
+    // Leases are extended when the hold arrives, not when it is answered.
+    fake_runner& r = runners_[runner];
+    const runner_hold_ended arrived = r.handle(hold, intended, now_);
+    if (arrived.result == order_result::other_incarnation) {
+        schedule_event(vm, incarnation, network_time, arrived);
+        return;
+    }
+    holds_.push_back({vm, incarnation, hold, now_, now_ + hold.wait, r.incarnation()});
 }
 
 bool central_world::is_silent(std::size_t vm, const runner_hold& hold) const
@@ -840,7 +859,7 @@
 {
     const std::size_t runner = index_of(h.hold.runner);
     // A restart of the runner breaks the connection.
-    const bool is_same_incarnation = runners_[runner].started_at == h.started_at;
+    const bool is_same_incarnation = runners_[runner].incarnation() == h.held_by;
     if (!can_reach(h.vm, runner) || !is_same_incarnation || is_silent(h.vm, h.hold)) {
         runner_hold_ended failed;
         failed.runner = h.hold.runner;
@@ -855,7 +874,7 @@
     runner_hold question = h.hold;
     question.acknowledged = 0;
     schedule_event(h.vm, h.incarnation, network_time + faults.report_delay,
-                   runners_[runner].handle(question, now_));
+                   runners_[runner].handle(question, h.held_by, now_));
 }
 
 void central_world::answer_due_holds()
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -200,8 +200,8 @@
         runner_hold hold;
         instant sent_at;
         instant until;
-        /// Start time of the runner's incarnation that holds it open.
-        instant started_at;
+        /// The runner's incarnation that holds it open.
+        runner_incarnation held_by;
     };
     struct task_history {
         bool done_acknowledged{false};
@@ -252,8 +252,13 @@
     bool chance(double share);
 
     task_behaviour behaviour_of(const runner_order& order) const;
-    void deliver_order(std::size_t vm, const runner_order& order, bool is_answered,
-                       std::uint64_t incarnation);
+    void deliver_order(std::size_t vm, const runner_order& order, runner_incarnation intended,
+                       bool is_answered, std::uint64_t incarnation);
+    void deliver_hold(std::size_t vm, const runner_hold& hold, runner_incarnation intended,
+                      std::uint64_t incarnation);
+    /// \return the incarnation of the runner that the VM has last heard of.
+    [[nodiscard]] runner_incarnation known_incarnation(std::size_t vm,
+                                                       const runner_id& runner) const;
     /// Checks that the store has the place of a service task that is to start, see
     /// `task_record::placed_on`.
     void check_place(const effect& e);
--- a/tests/central/fake_runner.cpp
+++ b/tests/central/fake_runner.cpp
@@ -45,10 +45,13 @@
     }
 }
 
-order_result fake_runner::handle(const runner_order& order, const task_behaviour& behaviour,
-                                 instant now)
+order_result fake_runner::handle(const runner_order& order, runner_incarnation intended,
+                                 const task_behaviour& behaviour, instant now)
 {
     advance(now);
+    if (intended != incarnation()) {
+        return order_result::other_incarnation;
+    }
     if (order.term < highest_term_) {
         return order_result::fenced;
     }
@@ -88,12 +91,18 @@
     return order_result::done;
 }
 
-runner_hold_ended fake_runner::handle(const runner_hold& hold, instant now)
+runner_hold_ended fake_runner::handle(const runner_hold& hold, runner_incarnation intended,
+                                      instant now)
 {
     advance(now);
     runner_hold_ended answer;
     answer.term = hold.term;
     answer.runner = entry.id;
+    const bool is_for_any = !hold.lease_until && hold.acknowledged == 0;
+    if (!is_for_any && intended != incarnation()) {
+        answer.result = order_result::other_incarnation;
+        return answer;
+    }
     answer.clock = clock(now);
     answer.started_at_ms = entry.started_at_ms;
     if (hold.term < highest_term_) {
--- a/tests/central/fake_runner.h
+++ b/tests/central/fake_runner.h
@@ -25,6 +25,13 @@
     bool uses_leftover{false};
 };
 
+/// An incarnation of a runner, see `runner_entry::started_at_ms`.
+struct runner_incarnation {
+    std::int64_t started_at_ms{0};
+
+    friend bool operator==(runner_incarnation, runner_incarnation) = default;
+};
+
 class fake_runner {
 public:
     explicit fake_runner(runner_entry registered) : entry{std::move(registered)} {}
@@ -39,10 +46,14 @@
 
     /// Advances the runner to `now`: ends runs that complete and runs whose lease expires.
     void advance(instant now);
-    order_result handle(const runner_order& order, const task_behaviour& behaviour, instant now);
+    /// \param intended the incarnation that the order is for; another one executes nothing.
+    order_result handle(const runner_order& order, runner_incarnation intended,
+                        const task_behaviour& behaviour, instant now);
     /// Extends leases and applies the acknowledgement.
+    /// \param intended the incarnation that the hold is for. As a restarted runner keeps its id
+    /// here, any incarnation answers a hold that carries no lease and no acknowledgement.
     /// \return the report.
-    runner_hold_ended handle(const runner_hold& hold, instant now);
+    runner_hold_ended handle(const runner_hold& hold, runner_incarnation intended, instant now);
     /// Ends the task's run as failed; no effect if there is none.
     void fail(const graph_task_id& task, instant now);
     /// Restarts the runner: all runs and all state of the incarnation are lost without a report.
@@ -52,6 +63,7 @@
     [[nodiscard]] instant next_end() const;
     [[nodiscard]] bool has_unacknowledged_end() const;
     [[nodiscard]] remote_instant clock(instant now) const { return {now.ms - started_at.ms + 1}; }
+    [[nodiscard]] runner_incarnation incarnation() const { return {entry.started_at_ms}; }
 
     runner_entry entry;
     instant started_at;
