Stops: a run is gone once another incarnation has answered its stop (LOST)

Seen: in the random histories of services (waves of crashing runners), service tasks whose start got no answer waited seconds for their stop to be confirmed, while each stop was answered by another incarnation of the runner; they started again only after a hold had timed out.

Cause: on_stop_ended took this answer for one that leaves the run's state open. It proves that the run has ended with its incarnation; starts and holds already take it so.

Change: the run is released, unless its start is still in flight (then it is flagged, as when a hold shows the restart). Only this run: other runs may be on the incarnation that answered.

--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -78,6 +78,25 @@
     stop_run(c, e.task, started);
 }
 
+/// Handles a stop that another incarnation of the runner has answered: the run is gone with its
+/// own.
+void on_stop_misdirected(const context& c, const runner_order_ended& e, run_stop& stop)
+{
+    const task_ref ref = find_task(c.s, e.task);
+    if (!is_current_run(ref, e.runner, e.run)) {
+        log_stop(c, "stop_unconfirmed", {stop.retry_at, e.runner, e.task, e.run}, stop,
+                 name_of(e.result));
+        return;
+    }
+    run& stopped = *ref.task->current_run;
+    if (stopped.start_in_flight) {
+        stopped.runner_may_have_restarted = true;
+        return;
+    }
+    log_run(c, "run_gone", e.task, stopped, name_of(e.result));
+    release_run(c, e.task, ref);
+}
+
 void on_stop_ended(const context& c, const runner_order_ended& e, runner_record* r)
 {
     --c.s.scheduler.open_stops;
@@ -95,6 +114,9 @@
     if (is_confirmed) {
         confirm_stop(c, *r, e, *stop);
     }
+    else if (e.result == order_result::other_incarnation) {
+        on_stop_misdirected(c, e, *stop);
+    }
     else if (stop->confirmed_at_hold == 0) {
         log_stop(c, "stop_unconfirmed", {stop->retry_at, e.runner, e.task, e.run}, *stop,
                  name_of(e.result));
--- a/tests/test_central_silent_runners.cpp
+++ b/tests/test_central_silent_runners.cpp
@@ -32,7 +32,7 @@
 graph_task_id fail_service(service_fixture& f, std::size_t runner)
 {
     cr_assert(!f.w.runner(runner).running.empty());
-    const graph_task_id task = f.w.runner(runner).running.begin()->first;
+    graph_task_id task = f.w.runner(runner).running.begin()->first;
     f.w.runner(runner).fail(task, f.w.now());
     return task;
 }
@@ -78,3 +78,20 @@
     cr_expect(runs_on_reachable_runner(f, task));
     expect_no_violation(f.w);
 }
+
+/// Guards against services that wait for a hold to time out although the runner, by its answer to
+/// a stop, has restarted.
+Test(central_silent_runners, service_starts_elsewhere_once_a_stop_reaches_another_incarnation)
+{
+    service_fixture f{1};
+    make_largest(f, silent);
+    // A new hold has just begun: it times out long after the start.
+    f.w.faults.unreachable_runners.insert(silent);
+    const graph_task_id task = fail_service(f, sound);
+    f.w.run_for(order_timeout - millis{100});
+    f.w.runner(silent).crash(f.w.now());
+    f.w.faults.unreachable_runners.clear();
+    f.w.run_for(millis{100} + restart_time);
+    cr_expect(runs_on_reachable_runner(f, task));
+    expect_no_violation(f.w);
+}
