Test that room is kept for a large service beside a backlog of small tasks

The other tests of services_first also pass when no room is kept: beside large batch tasks the order alone suffices there. This one needs it.

Measured: passes; fails (no run within 1,100 ms of the drain) in a trial in which has_capacity ignores kept_for_services.

--- a/tests/test_central_services_first.cpp
+++ b/tests/test_central_services_first.cpp
@@ -192,3 +192,38 @@
     }
     expect_no_violation(f.w);
 }
+
+/// Guards against a large service for which no room is left together, as small tasks take each bit.
+Test(central_services_first, room_is_kept_for_a_large_service)
+{
+    constexpr std::uint64_t jobs{300};
+    central_world w{{.vms = 1}};
+    w.run_for(warm_up);
+    graph_job service = central_world::make_job(id_of(1), 1, 1, start_time);
+    service.steps[0].is_service = true;
+    service.steps[0].task_size = {12'000, 1'000, 0};
+    w.submit(0, service);
+    w.run_for(report_time);
+    for (std::uint64_t n{0}; n < jobs; ++n) {
+        const auto run_time = static_cast<std::int64_t>(200 + 37 * n % 301);
+        graph_job batch = central_world::make_job(id_of(n + 2), 1, 12, {run_time});
+        batch.steps[0].task_size = {500, 500, 0};
+        w.submit(0, batch);
+    }
+    w.run_for(start_time);
+    const graph_task_id task{{id_of(1)}, 0, 0, 0};
+    std::size_t place{0};
+    while (!w.runner(place).running.contains(task)) {
+        ++place;
+        cr_assert_lt(place, w.runners());
+    }
+    w.drain_runner(place);
+    w.run_for(report_time + start_time);
+    bool runs_elsewhere{false};
+    for (std::size_t i{0}; i < w.runners(); ++i) {
+        runs_elsewhere = runs_elsewhere || (i != place && w.runner(i).running.contains(task));
+    }
+    cr_expect(runs_elsewhere);
+    cr_expect_geq(w.state_of(0).scheduler.ready.size(), jobs / 4, "the backlog is used up");
+    expect_no_violation(w);
+}
