--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -20,8 +20,8 @@
 inline constexpr millis lease_renewal{1'000};
 inline constexpr millis lease_retry{200};
 /// Minimum time between two renewals if the later one is early because a runner was lost or its
-/// report is overdue; or because one was found or a new holder is ready, as leases are not extended until then, or
-/// because leases of a lost runner have expired.
+/// report is overdue; or because one was found or a new holder is ready, as leases are not extended
+/// until then, or because leases of a lost runner have expired.
 inline constexpr millis renewal_after_loss{500};
 inline constexpr millis renewal_after_find{50};
 /// A holder that has not renewed its lease for this long stops sending orders and extending run
--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -5,6 +5,8 @@
 #include "parts.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "codec.h"
@@ -325,7 +327,12 @@
 void on_store_reachable(const context& c, const store_reachable& e)
 {
     c.s.store_is_reachable = e.reachable;
-    c.log(e.reachable ? "store_regained" : "store_lost", {});
+    const lease_state& l = c.s.lease;
+    std::vector<log_field> fields{{"role", name_of(l.current_role)}};
+    if (l.current_role == role::scheduler) {
+        fields.push_back({"renewed_ms_ago", absl::StrCat((c.now - l.renewed_at).count)});
+    }
+    c.log(e.reachable ? "store_regained" : "store_lost", std::move(fields));
     if (e.reachable) {
         // The holder may have lost the store too: it has half a lease length to renew before
         // another VM claims.
