--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -151,6 +151,7 @@
 inline constexpr millis crash_hold_back{300'000};
 inline constexpr millis brief_crash_hold_back{5'000};
 inline constexpr std::uint32_t crashes_held_back_briefly{3};
+inline constexpr std::uint32_t service_crashes_held_back_briefly{4};
 
 // Placement.
 /// Minimum time between placement rounds if no step became ready in between.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -117,13 +117,17 @@
     std::uint32_t possible{0};
     /// Of these, crashes that nothing else explains.
     std::uint32_t attributed{0};
-    /// The suspect was started, and the outcome is not known yet. A successor that finds no such
-    /// run knows that it was lost.
+    /// A suspect or a service was started, and the outcome is not known yet. A successor that finds
+    /// no such run knows that it was lost. For services that are not suspects it is not stored, as
+    /// their place tells.
     bool has_open_run{false};
     /// Crashes for which it was a suspect under this holder of the lease; not stored.
     std::uint32_t suspected{0};
     /// The task does not start before; not stored.
     std::optional<instant> held_back_until{};
+
+    /// \return true if something is counted that a run which survives its start clears.
+    [[nodiscard]] bool has_counted() const { return is_suspect || possible > 0; }
 };
 
 struct task_record {
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -321,7 +321,7 @@
     return state <= job_state::cancelled;
 }
 
-/// Adds the crash counts of suspects and the places of service runs to the row.
+/// Adds the crash counts and the places of service runs to the row.
 void add_crashes_and_places(stored_progress& progress,
                             const std::vector<occurrence_record>& occurrences)
 {
@@ -331,7 +331,7 @@
         for (std::uint32_t step{0}; step < steps.size(); ++step) {
             const auto& tasks = steps[step].tasks;
             for (std::uint32_t i{0}; i < tasks.size(); ++i) {
-                if (tasks[i].crashes.is_suspect) {
+                if (tasks[i].crashes.has_counted()) {
                     progress.crashes.push_back({k, step, i, tasks[i].crashes});
                 }
                 if (!tasks[i].placed_on.value.empty()) {
@@ -386,6 +386,7 @@
         for (const task_position& at : place.tasks) {
             if (task_record* const task = find_task_at(progress, at)) {
                 task->placed_on = place.runner;
+                task->crashes.has_open_run = true;
             }
         }
     }
--- a/src/central/codec.h
+++ b/src/central/codec.h
@@ -55,7 +55,7 @@
     job_state state{job_state::queued};
     /// Empty once the job has ended.
     std::vector<occurrence_record> occurrences;
-    /// `task_record::crashes` of the suspects.
+    /// `task_record::crashes` where crashes are counted.
     std::vector<stored_crashes> crashes;
     /// `task_record::placed_on` of the service tasks that have one.
     std::vector<stored_place> places;
--- a/src/central/crashes.cpp
+++ b/src/central/crashes.cpp
@@ -13,7 +13,10 @@
 /// many runners without such a culprit were lost at the same time. A run that survives its first
 /// moments clears its task.
 ///
-/// The counts are stored with the job's progress, so that a successor continues them.
+/// The counts are stored with the job's progress, so that a successor continues them. It also
+/// counts the runs of suspects and services that were lost together with the holder before it.
+/// Services are missed soon, so they are held back briefly up to the last crash that users accept,
+/// and a successor does not begin that time anew.
 #include "runs.h"
 
 #include <algorithm>
@@ -85,24 +88,29 @@
            counts.possible >= config::possible_crashes_to_hold_back;
 }
 
-/// \return how long a task is held back after its last crash: briefly if this holder of the lease
-/// has seen all its crashes and they are few, as others may be to blame.
-millis hold_back_time(const task_ref& ref)
+/// \return true if the task's crashes are so few that others may be to blame. The count of a
+/// service includes all crashes, whoever held the lease, as its place is stored before each start.
+bool are_crashes_few(const task_ref& ref)
 {
     const crash_counts& counts = ref.task->crashes;
-    const bool are_few =
-        std::max(counts.possible, counts.suspected) <= config::crashes_held_back_briefly;
-    return are_few && !ref.job->recovered ? config::brief_crash_hold_back : config::crash_hold_back;
+    const std::uint32_t crashes = std::max(counts.possible, counts.suspected);
+    if (ref.step->is_service) {
+        return crashes <= config::service_crashes_held_back_briefly;
+    }
+    return crashes <= config::crashes_held_back_briefly && !ref.job->recovered;
 }
 
-void hold_back_if_proved(const context& c, const graph_task_id& id, const task_ref& ref)
+/// \param crashed_at the last sign of life of the crashed runner, or now if that is not known.
+void hold_back_if_proved(const context& c, const graph_task_id& id, const task_ref& ref,
+                         instant crashed_at)
 {
     crash_counts& counts = ref.task->crashes;
     if (!is_proved(counts)) {
         return;
     }
-    const millis time = hold_back_time(ref);
-    counts.held_back_until = c.now + time;
+    counts.held_back_until = are_crashes_few(ref) ? crashed_at + config::brief_crash_hold_back
+                                                  : c.now + config::crash_hold_back;
+    const millis time = std::max(millis{0}, *counts.held_back_until - c.now);
     c.log("task_held_back", {{"task", to_string(id)},
                              {"possible_crashes", absl::StrCat(counts.possible)},
                              {"attributed_crashes", absl::StrCat(counts.attributed)},
@@ -140,7 +148,23 @@
                              {"runner", r.entry.id.value},
                              {"possible_crashes", absl::StrCat(counts.possible)},
                              {"attributed_crashes", absl::StrCat(counts.attributed)}});
-    hold_back_if_proved(c, id, ref);
+    hold_back_if_proved(c, id, ref, r.last_alive.seen_at);
+}
+
+/// Counts a run that was lost together with the holder of the lease. It may have crashed its
+/// runner.
+void count_lost_with_holder(const context& c, const graph_task_id& id, const task_ref& ref)
+{
+    crash_counts& counts = ref.task->crashes;
+    // The first such run may have worked for long. A later one has not survived its start: that
+    // would have cleared the count.
+    counts.is_suspect = counts.is_suspect || counts.possible > 0;
+    ++counts.possible;
+    c.log("run_lost_with_holder", {{"task", to_string(id)},
+                                   {"runner", ref.task->placed_on.value},
+                                   {"suspect", counts.is_suspect ? "true" : "false"},
+                                   {"possible_crashes", absl::StrCat(counts.possible)},
+                                   {"attributed_crashes", absl::StrCat(counts.attributed)}});
 }
 
 /// Sets the culprit of a loss: the only suspect if it was isolated, or the only isolated one if the
@@ -242,14 +266,19 @@
 bool is_held_back(const context& c, const graph_task_id& id, task_ref ref)
 {
     crash_counts& counts = ref.task->crashes;
+    const bool was_lost_with_holder = std::exchange(counts.has_open_run, false);
+    if (was_lost_with_holder) {
+        count_lost_with_holder(c, id, ref);
+    }
     if (!counts.is_suspect) {
         return false;
     }
-    const bool was_lost_with_holder = std::exchange(counts.has_open_run, false);
-    counts.possible += was_lost_with_holder ? 1 : 0;
-    // A successor does not know when the last crash was.
-    if (was_lost_with_holder || !counts.held_back_until) {
-        hold_back_if_proved(c, id, ref);
+    // A successor does not know when the last crash was. A service that is only held back briefly
+    // starts at once: otherwise each successor would add to the time for which it is missed.
+    const bool is_time_known = counts.held_back_until && !was_lost_with_holder;
+    const bool starts_at_once = ref.step->is_service && are_crashes_few(ref);
+    if (!is_time_known && !starts_at_once) {
+        hold_back_if_proved(c, id, ref, c.now);
     }
     const bool is_held = counts.held_back_until && c.now < *counts.held_back_until;
     if (is_held) {
@@ -281,7 +310,7 @@
         return;
     }
     current.has_survived_start = true;
-    if (ref.task->crashes.is_suspect) {
+    if (ref.task->crashes.has_counted()) {
         ref.task->crashes = {};
         mark_changed(c, *ref.job);
     }
--- a/src/central/handover.cpp
+++ b/src/central/handover.cpp
@@ -241,9 +241,7 @@
     if (!ref.job->recovered || !s.recovering || ref.task->is_reconciled) {
         return false;
     }
-    // A task that has just crashed a runner would crash one under each holder before any of them
-    // can tell. Services are missed soon, so they take that risk unless they are suspects.
-    if (!ref.step->is_service || ref.task->crashes.is_suspect || !s.places_known) {
+    if (!ref.step->is_service || !s.places_known) {
         return true;
     }
     const runner_record* const r = find_runner(c, ref.task->placed_on);
--- a/tests/test_central_crash_loops.cpp
+++ b/tests/test_central_crash_loops.cpp
@@ -33,6 +33,10 @@
 /// How the scheduling VM ends.
 enum class vm_end : std::uint8_t { planned_stop, kill };
 
+/// Tasks of the service that any runner may take, and all that are not at fault.
+constexpr std::uint32_t unlabelled_tasks{20};
+constexpr std::size_t sound_tasks{unlabelled_tasks + 1};
+
 /// A service that one runner may take, among services that any may take.
 struct crash_loop {
     central_world w;
@@ -43,7 +47,7 @@
         w.run_for(warm_up);
         submit_service(1, 1, only_label);
         cr_assert(runs_within(warm_up));
-        submit_service(2, 20, "");
+        submit_service(2, unlabelled_tasks, "");
     }
 
     void submit_service(std::uint64_t job_number, std::uint32_t tasks, const std::string& label)
@@ -59,6 +63,16 @@
         return !w.faults.unreachable_runners.contains(0) && w.runner(0).running.contains(task);
     }
 
+    /// \return the number of service tasks that run.
+    std::size_t running_services()
+    {
+        std::size_t count{0};
+        for (std::size_t i{0}; i < w.runners(); ++i) {
+            count += w.faults.unreachable_runners.contains(i) ? 0 : w.runner(i).running.size();
+        }
+        return count;
+    }
+
     void end_scheduler(vm_end how)
     {
         const auto vm = w.scheduler();
@@ -201,7 +215,8 @@
     }
 }
 
-/// A service at fault crashes no more runners than users accept, whoever holds the lease.
+/// A service at fault crashes no more runners than users accept, whoever holds the lease, and those
+/// that ran beside it run again.
 Test(central_crash_loops, service_that_crashes_its_runners_is_held_back_although_the_lease_moves)
 {
     constexpr std::uint64_t seeds{24};
@@ -219,6 +234,9 @@
             cr_expect_leq(l.w.crashes_by(guilty), max_crashes, "seed %lu: %u runners crashed, %s",
                           static_cast<unsigned long>(seed), l.w.crashes_by(guilty),
                           how == vm_end::kill ? "kills" : "planned stops");
+            cr_expect_eq(l.running_services(), sound_tasks, "seed %lu: %zu sound tasks run, %s",
+                         static_cast<unsigned long>(seed), l.running_services(),
+                         how == vm_end::kill ? "kills" : "planned stops");
             expect_no_violation(l.w);
         }
     }
