Soak: runners that are lost again and again under one service, stops beside it

A seed also draws up to two services that only one runner may take; that runner crashes or is cut off two to four times, soon after each start of its service, and the scheduling VM is stopped with some of the losses. A stopped VM stays away for 0.3 to 2.3 s, as the users' VMs are away longer than ours were. What earlier seeds drew is drawn as before.

central_crash_loops has two cases with a batch task in place of the service: LOST in both (21.4 s without a run, ended by the case's limit) with one planned stop: the same cause, not mended yet.

--- a/tests/soak/crash_loops.cpp
+++ b/tests/soak/crash_loops.cpp
@@ -23,6 +23,8 @@
 constexpr std::array vm_names{"entry-1", "entry-2", "entry-3", "entry-4"};
 constexpr std::int64_t ready_limit_ms{20'000};
 constexpr std::int64_t tick_ms{10};
+/// From the end of the stopped process to its next start.
+constexpr std::int64_t restart_after_ms{300};
 /// From the first start of the service to the first loss of its runner.
 constexpr std::int64_t first_work_ms{1'500};
 constexpr std::int64_t crash_length_ms{1'400};
@@ -31,9 +33,13 @@
 /// No case waits longer for the service. Users miss it earlier.
 constexpr std::int64_t start_limit_ms{20'000};
 
-const char* const service_text =
-    R"({"task_spec":"work 600000","steps":[{"count":1,"cpu":4000,"mem_mb":1024,)"
-    R"("estimated_ms":4000,"long_running":true,"required_label":"b"}]})";
+/// \return the text of a job with one task that only the first runner may take.
+std::string job_text(bool is_service)
+{
+    const std::string kind = is_service ? R"("long_running":true,)" : "";
+    return R"({"task_spec":"work 600000","steps":[{"count":1,"cpu":4000,"mem_mb":1024,)" + kind +
+           R"("estimated_ms":4000,"required_label":"b"}]})";
+}
 
 struct loop_case {
     std::string_view name;
@@ -45,15 +51,19 @@
     bool is_cut{false};
     /// From the start of a run to the next loss.
     std::int64_t work_ms{150};
+    /// It loses a service; otherwise a batch task, to which the same bound applies.
+    bool is_service{true};
 };
 
-constexpr std::array<loop_case, 6> cases{{
+constexpr std::array<loop_case, 8> cases{{
     {"crashes", 3, 0, false},
     {"crashes_stop_1", 3, 1, false},
     {"crashes_stop_2", 4, 2, false},
     {"late_crashes_stop_2", 3, 2, false, 700},
     {"crashes_stop_last", 4, 4, false},
     {"cuts_stop_1", 4, 1, true},
+    {"batch_stop_1", 3, 1, false, 150, false},
+    {"batch_stop_2", 3, 2, false, 150, false},
 }};
 
 class loop_play {
@@ -68,11 +78,12 @@
     {
         start_cluster();
         const std::string job = review::job_id(1);
-        if (!world_.wait_until_ready(ready_limit_ms) || !world_.submit(queue_, job, service_text)) {
+        if (!world_.wait_until_ready(ready_limit_ms) ||
+            !world_.submit(queue_, job, job_text(case_.is_service))) {
             return std::nullopt;
         }
         seen_.lasting_tasks[job + ".0.0.0"] = review::now_ms();
-        supervisor_.emplace(world_, vm_names.size(), folder_);
+        supervisor_.emplace(world_, vm_names.size(), folder_, restart_after_ms);
         if (!wait_for_run()) {
             return std::nullopt;
         }
--- a/tests/soak/play.cpp
+++ b/tests/soak/play.cpp
@@ -20,6 +20,7 @@
 constexpr unsigned service_count{22};
 /// Jobs of services have numbers from here on, those of clients are far above.
 constexpr unsigned first_service{1'000};
+constexpr unsigned first_loop{2'000};
 
 struct domain_size {
     const char* name{nullptr};
@@ -59,7 +60,8 @@
 
 play::play(std::uint64_t seed, std::string folder)
     : seed_{seed}, folder_{std::move(folder)}, world_{folder_ + "/record.txt"},
-      scenario_{draw_scenario(seed, {count_vms(), runner_count, service_count})}
+      scenario_{draw_scenario(seed, {count_vms(), runner_count, service_count})},
+      loops_(scenario_.loops.size())
 {
 }
 
@@ -70,7 +72,8 @@
         return std::nullopt;
     }
     submit_services();
-    supervisor_ = std::make_unique<supervisor>(world_, vm_count_, folder_);
+    supervisor_ =
+        std::make_unique<supervisor>(world_, vm_count_, folder_, scenario_.restart_after_ms);
     plan_actions();
     started_at_ = review::now_ms();
     world_.log().add("soak starts at " + std::to_string(started_at_));
@@ -94,6 +97,7 @@
         review::runner_options options;
         options.id = "i-" + std::to_string(first_service + i);
         options.failure_domain = domains.at(i % domains.size()).name;
+        options.labels.push_back(only_on(i));
         world_.add_runner(options);
     }
     for (const domain_size& each : domains) {
@@ -106,13 +110,21 @@
 void play::submit_services()
 {
     for (unsigned i{0}; i < scenario_.services.size(); ++i) {
-        const std::string job = review::job_id(first_service + i);
-        if (!world_.submit(service_queue(), job, scenario_.services[i])) {
-            continue;
-        }
-        for (unsigned task{0}; task < tasks_per_service; ++task) {
-            seen_.lasting_tasks[job + ".0.0." + std::to_string(task)] = review::now_ms();
-        }
+        submit_service(first_service + i, scenario_.services[i], tasks_per_service);
+    }
+    for (unsigned i{0}; i < scenario_.loops.size(); ++i) {
+        submit_service(first_loop + i, service_only_on(scenario_.loops[i].runner), 1);
+    }
+}
+
+void play::submit_service(unsigned number, const std::string& text, unsigned tasks)
+{
+    const std::string job = review::job_id(number);
+    if (!world_.submit(service_queue(), job, text)) {
+        return;
+    }
+    for (unsigned task{0}; task < tasks; ++task) {
+        seen_.lasting_tasks[job + ".0.0." + std::to_string(task)] = review::now_ms();
     }
 }
 
@@ -130,11 +142,53 @@
             const auto due = plan_.extract(plan_.begin());
             due.mapped()();
         }
+        advance_loops();
         supervisor_->tick();
         review::sleep_ms(tick_ms);
     }
 }
 
+void play::advance_loops()
+{
+    for (std::size_t i{0}; i < loops_.size(); ++i) {
+        const loss_loop& loop = scenario_.loops[i];
+        const bool is_over =
+            loops_[i].losses == loop.losses || since_start() + loop.length_ms > disturbed_until_ms;
+        if (!is_over && since_start() >= loop.from_ms) {
+            advance_loop(i);
+        }
+    }
+}
+
+void play::advance_loop(std::size_t index)
+{
+    const loss_loop& loop = scenario_.loops[index];
+    loop_progress& progress = loops_[index];
+    const std::string task = review::job_id(first_loop + static_cast<unsigned>(index)) + ".0.0.0";
+    bool works{false};
+    world_.on_loop([&] {
+        const review::runner& r = world_.runner_at(loop.runner);
+        works = r.is_up() && r.runs(task);
+    });
+    if (!works || review::now_ms() < progress.back_at) {
+        progress.works_since = 0;
+        return;
+    }
+    if (progress.works_since == 0) {
+        progress.works_since = review::now_ms();
+    }
+    if (review::now_ms() - progress.works_since < loop.work_ms) {
+        return;
+    }
+    const act what = loop.is_cut ? act::cut_off : act::crash_runner;
+    begin({what, since_start(), loop.length_ms, {}, {loop.runner}, 0});
+    if ((loop.stops_with >> static_cast<unsigned>(progress.losses) & 1U) != 0) {
+        begin({act::planned_stop, since_start(), 0, {scheduler}, {}, 0});
+    }
+    ++progress.losses;
+    progress.back_at = review::now_ms() + loop.length_ms;
+}
+
 void play::begin(const action& drawn)
 {
     const action a = resolve(drawn);
--- a/tests/soak/play.h
+++ b/tests/soak/play.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "judge.h"
 #include "scenario.h"
@@ -25,8 +26,12 @@
 private:
     void start_cluster();
     void submit_services();
+    void submit_service(unsigned number, const std::string& text, unsigned tasks);
     void plan_actions();
     void carry_out_plan();
+    /// Loses the runners of the loops whose services have worked for long enough.
+    void advance_loops();
+    void advance_loop(std::size_t index);
     /// Begins the action and plans its end.
     void begin(const action& a);
     void begin_vm_action(const action& a);
@@ -55,6 +60,16 @@
     /// By time since the start.
     std::multimap<std::int64_t, std::function<void()>> plan_;
     observations seen_;
+
+    struct loop_progress {
+        int losses{0};
+        /// When the runner is back from the last loss.
+        std::int64_t back_at{0};
+        /// When its service was first seen to work after the last loss; 0: not yet.
+        std::int64_t works_since{0};
+    };
+    /// As in `scenario::loops`.
+    std::vector<loop_progress> loops_;
 };
 
 } // namespace soak
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -30,6 +30,8 @@
         draw_vm_faults();
         draw_store_faults();
         draw_runner_faults();
+        draw_loss_loops();
+        drawn_.restart_after_ms = from(300, 2'000);
         return drawn_;
     }
 
@@ -139,6 +141,22 @@
         }
     }
 
+    void draw_loss_loops()
+    {
+        const std::int64_t loops = from(0, 3);
+        for (std::int64_t i{0}; i < loops; ++i) {
+            loss_loop loop;
+            loop.runner = static_cast<std::size_t>(i);
+            loop.losses = static_cast<int>(from(2, 3));
+            loop.from_ms = any_time() / 2;
+            loop.work_ms = from(20, one_in(3) ? 2'000 : 400);
+            loop.is_cut = one_in(3);
+            loop.length_ms = loop.is_cut ? from(5'000, 2'500) : from(300, 3'000);
+            loop.stops_with = amount(0, 1 << 4);
+            drawn_.loops.push_back(loop);
+        }
+    }
+
     unsigned amount(std::int64_t least, std::int64_t span)
     {
         return static_cast<unsigned>(from(least, span));
@@ -193,6 +211,18 @@
     return "";
 }
 
+std::string only_on(std::size_t runner)
+{
+    return "only-" + std::to_string(runner);
+}
+
+std::string service_only_on(std::size_t runner)
+{
+    return R"({"task_spec":"work 600000","steps":[{"count":1,"cpu":1000,"mem_mb":1024,)"
+           R"("estimated_ms":400,"long_running":true,"required_label":")" +
+           only_on(runner) + R"("}]})";
+}
+
 scenario draw_scenario(std::uint64_t seed, const cluster_size& size)
 {
     return drawer{seed, size}.draw();
--- a/tests/soak/scenario.h
+++ b/tests/soak/scenario.h
@@ -70,13 +70,41 @@
 /// Tasks of each service.
 inline constexpr unsigned tasks_per_service{6};
 
+/// A runner that is lost again and again, each time soon after the service that only it may take
+/// has started there.
+struct loss_loop {
+    std::size_t runner{0};
+    int losses{0};
+    /// Since the start of the soak.
+    std::int64_t from_ms{0};
+    /// From the start of the service to the next loss.
+    std::int64_t work_ms{0};
+    /// It is cut off for `length_ms` in place of a crash.
+    bool is_cut{false};
+    std::int64_t length_ms{0};
+    /// Bit `n`: the scheduling VM is stopped with loss `n`, counted from 0.
+    unsigned stops_with{0};
+};
+
 struct scenario {
     std::vector<action> actions;
     /// Texts of the jobs whose tasks run until they are cancelled.
     std::vector<std::string> services;
+    /// Each with one more such job, of one task; see `only_on`.
+    std::vector<loss_loop> loops;
+    /// From the end of a stopped process to its next start.
+    std::int64_t restart_after_ms{0};
 };
 
-/// The same for the same seed and size. All disturbance is over 45 s after the start.
+/// No disturbance is later, since the start of the soak.
+inline constexpr std::int64_t disturbed_until_ms{45'000};
+
+/// \return the label that only this runner has.
+std::string only_on(std::size_t runner);
+/// \return the text of a job with one task that runs until it is cancelled, on this runner only.
+std::string service_only_on(std::size_t runner);
+
+/// The same for the same seed and size.
 scenario draw_scenario(std::uint64_t seed, const cluster_size& size);
 
 } // namespace soak
--- a/tests/soak/supervisor.cpp
+++ b/tests/soak/supervisor.cpp
@@ -12,8 +12,6 @@
 
 /// From the SIGTERM of a planned stop to its SIGKILL.
 constexpr std::int64_t grace_ms{6'000};
-/// From the end of a stopped process to its next start.
-constexpr std::int64_t restart_after_ms{300};
 
 std::string describe(int status)
 {
@@ -88,7 +86,7 @@
         const std::int64_t now = review::now_ms();
         notice_end(vm);
         if (state.kill_at != 0 && now >= state.kill_at) {
-            kill_now(vm, restart_after_ms);
+            kill_now(vm, restart_after_ms_);
         }
         if (state.continue_at != 0 && now >= state.continue_at) {
             world_.signal_vm(vm, SIGCONT);
@@ -125,7 +123,7 @@
     process.pid = 0;
     state.kill_at = 0;
     state.continue_at = 0;
-    state.restart_at = review::now_ms() + restart_after_ms;
+    state.restart_at = review::now_ms() + restart_after_ms_;
 }
 
 void supervisor::begin_trouble(std::size_t vm)
--- a/tests/soak/supervisor.h
+++ b/tests/soak/supervisor.h
@@ -14,9 +14,11 @@
 
 class supervisor {
 public:
-    /// Its VMs run. `folder` has their logs.
-    supervisor(review::world& w, std::size_t vm_count, std::string folder)
-        : world_{w}, folder_{std::move(folder)}, vms_(vm_count)
+    /// Its VMs run. `folder` has their logs. A process that was stopped starts again
+    /// `restart_after_ms` after its end.
+    supervisor(review::world& w, std::size_t vm_count, std::string folder,
+               std::int64_t restart_after_ms)
+        : world_{w}, folder_{std::move(folder)}, restart_after_ms_{restart_after_ms}, vms_(vm_count)
     {
     }
 
@@ -53,6 +55,7 @@
 
     review::world& world_;
     std::string folder_;
+    std::int64_t restart_after_ms_;
     std::vector<process_state> vms_;
     std::vector<vm_trouble> troubles_;
     std::vector<std::string> own_ends_;
