--- a/tests/central/expectations.h
+++ b/tests/central/expectations.h
@@ -14,6 +14,9 @@
 
 /// Time for the first claim of the lease and the first reports of the runners.
 inline constexpr millis warm_up{1'000};
+/// Users miss a service task that has had no run for this long, and no fault for `calm_time`.
+inline constexpr millis missed_after{9'000};
+inline constexpr millis calm_time{7'000};
 
 /// \return the id of the n-th job, padded to the length of job ids.
 inline std::string id_of(std::uint64_t n)
--- a/tests/central/service_fixture.h
+++ b/tests/central/service_fixture.h
@@ -11,9 +11,6 @@
 
 namespace cuminmoor::central::test {
 
-/// Users miss a service task that has had no run for this long.
-inline constexpr millis missed_after{9'000};
-
 struct service_fixture {
     static constexpr std::size_t vms{5};
     static constexpr std::size_t runners{6};
--- a/tests/central/service_history.cpp
+++ b/tests/central/service_history.cpp
@@ -18,8 +18,6 @@
 constexpr resources runner_capacity{32'000, 128'000, 0};
 /// Time between two looks at the services.
 constexpr millis step{50};
-/// Users expect nothing of a service for this long after an unplanned fault.
-constexpr millis calm_time{7'000};
 constexpr instant first_stop{15'000};
 constexpr millis stop_interval{1'300};
 /// Time from the first stop to the loss of the store.
