Crashes: a run that was lost with its holder is counted once (LOST)

If another task of its job was stored meanwhile, so was the count, and the next holder counted the same run once more; after five holders the service would have been held back for 300 s. For suspects the code before did the same.

Change: the place, and that a run is open, are taken back in the store when the run is counted.

--- a/src/central/crashes.cpp
+++ b/src/central/crashes.cpp
@@ -160,8 +160,12 @@
     // would have cleared the count.
     counts.is_suspect = counts.is_suspect || counts.possible > 0;
     ++counts.possible;
+    const runner_id runner = ref.task->placed_on;
+    // Otherwise the next holder would count it again if the task has not started until then.
+    forget_place(c, ref);
+    mark_changed(c, *ref.job);
     c.log("run_lost_with_holder", {{"task", to_string(id)},
-                                   {"runner", ref.task->placed_on.value},
+                                   {"runner", runner.value},
                                    {"suspect", counts.is_suspect ? "true" : "false"},
                                    {"possible_crashes", absl::StrCat(counts.possible)},
                                    {"attributed_crashes", absl::StrCat(counts.attributed)}});
--- a/tests/central/crash_loop.h
+++ b/tests/central/crash_loop.h
@@ -24,6 +24,7 @@
 inline constexpr millis stop_time{6'000};
 inline constexpr const char* only_label{"only"};
 inline const graph_task_id looped_task{{id_of(1)}, 0, 0, 0};
+inline const graph_task_id other_task{{id_of(1)}, 0, 1, 0};
 
 enum class task_kind : std::uint8_t { service, batch };
 
@@ -32,7 +33,7 @@
 
 /// Tasks of the service that any runner may take, and all that are not at fault.
 inline constexpr std::uint32_t unlabelled_tasks{20};
-inline constexpr std::size_t sound_tasks{unlabelled_tasks + 1};
+inline constexpr std::size_t sound_tasks{unlabelled_tasks + 2};
 
 /// A task that one runner may take, among services that any may take.
 struct crash_loop {
@@ -48,16 +49,30 @@
         submit(2, unlabelled_tasks, "", task_kind::service);
     }
 
-    /// Batch tasks outlast the test.
+    /// Batch tasks outlast the test. A job with a label has the same tasks without it besides.
     void submit(std::uint64_t job_number, std::uint32_t tasks, const std::string& label,
                 task_kind kind)
     {
         graph_job job = central_world::make_job(id_of(job_number), 1, tasks, {300'000});
         job.steps[0].is_service = kind == task_kind::service;
         job.steps[0].required_label = label;
+        if (!label.empty()) {
+            graph_step other = job.steps[0];
+            other.required_label.clear();
+            job.steps.push_back(other);
+        }
         w.submit(0, job);
     }
 
+    /// Fails the task of the labelled job that any runner may take.
+    void fail_other_task()
+    {
+        for (std::size_t i{0}; i < w.runners(); ++i) {
+            w.runner(i).fail(other_task, w.now());
+        }
+        run_for(warm_up);
+    }
+
     bool is_running()
     {
         return !w.faults.unreachable_runners.contains(0) &&
--- a/tests/test_central_crash_loops.cpp
+++ b/tests/test_central_crash_loops.cpp
@@ -44,6 +44,27 @@
     }
 }
 
+/// Each new holder counted the same lost run of a service again that had found no runner meanwhile,
+/// as the service's job had been stored for another of its tasks.
+Test(central_crash_loops, service_that_waits_for_its_runner_is_not_held_back_as_the_lease_moves)
+{
+    constexpr int ends{6};
+    constexpr millis interval{8'000};
+    for (const vm_end how : {vm_end::planned_stop, vm_end::kill}) {
+        crash_loop l{1};
+        l.run_for({2'000});
+        l.crash_runner(interval * (ends + 1));
+        for (int i{0}; i < ends; ++i) {
+            l.end_scheduler(how);
+            l.run_for(interval);
+            l.fail_other_task();
+        }
+        l.run_for(interval);
+        cr_expect(l.runs_within(calm_time), "%s", how == vm_end::kill ? "kills" : "planned stops");
+        expect_no_violation(l.w);
+    }
+}
+
 /// A task at fault crashes no more runners than users accept, whoever holds the lease, and those
 /// that ran beside it run again.
 Test(central_crash_loops, service_at_fault_is_held_back_although_the_lease_moves)
