Services that wait for room: the longest wait comes first (LOST)

Our log, with a debug line for each waiting service (trial): about 100 wait for 10 to 18 cores each; services fill all but one or two of 320 runners, and one new runner a second takes five of them. They were served in the order of their steps' deadlines, so those lost first waited to the end while later ones, and those that failed meanwhile, took each bit of room.

Change: waiting services are served by priority, then by how long they have waited. The steps that no runner can take are a set, no longer the neighbours in the list, and a step for which no room can be kept is asked once a pass, not once a task.

service_that_has_waited_longest_starts_first failed before (none of eight services ran again while eight others failed in turn), passes now.

--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -202,7 +202,7 @@
 void add_waiting_service(const context& c, const graph_task_id& id, const task_ref& ref);
 /// Removes a task that is not ready any more.
 void remove_waiting_service(const context& c, const graph_task_id& id);
-/// \return the waiting services that may start now, most urgent steps first.
+/// \return the waiting services that may start now, by priority, then the longest waits first.
 std::vector<graph_task_id> startable_services(const context& c);
 /// Keeps room for services that no runner can take now: each on one runner, no more than it needs.
 void keep_room(const context& c, const std::vector<runner_record*>& runners,
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <set>
 
 namespace cuminmoor::central {
 
@@ -354,19 +355,19 @@
 {
     runner_selector selector{c};
     std::vector<graph_task_id> rejected;
+    // No runner is feasible for the other tasks of these either.
+    std::set<ready_key> rejected_steps;
     for (const graph_task_id& id : startable_services(c)) {
         const task_ref ref = find_task(c.s, id);
-        // No runner is feasible for the step's other tasks either.
-        const bool is_step_rejected = !rejected.empty() && rejected.back().job == id.job &&
-                                      rejected.back().occurrence == id.occurrence &&
-                                      rejected.back().step == id.step;
+        const ready_key step = ready_key_of(*ref.job, id);
         runner_record* const r =
-            is_step_rejected ? nullptr : selector.select_runner(runners, id, ref);
+            rejected_steps.contains(step) ? nullptr : selector.select_runner(runners, id, ref);
         if (r != nullptr) {
             start_task(c, id, ref, *r);
         }
         else {
             rejected.push_back(id);
+            rejected_steps.insert(step);
         }
     }
     return rejected;
--- a/src/central/reservations.cpp
+++ b/src/central/reservations.cpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -236,6 +237,17 @@
            {"unusable", absl::StrCat(counts.unusable)}});
 }
 
+/// Sorts waiting services: of the same priority, the one that has waited longest comes first, so
+/// that none waits for ever while room comes free now and then.
+struct service_turn {
+    std::int32_t priority{0};
+    instant without_run_since;
+    ready_key step;
+    graph_task_id task;
+
+    auto operator<=>(const service_turn&) const = default;
+};
+
 bool has_run_before(const task_ref& ref)
 {
     const bool ran_in_earlier_term = ref.job->recovered && ref.job->state == job_state::running;
@@ -271,18 +283,19 @@
 
 std::vector<graph_task_id> startable_services(const context& c)
 {
-    std::vector<std::pair<ready_key, graph_task_id>> found;
+    std::vector<service_turn> turns;
     for (const auto& [id, waiting] : c.s.scheduler.waiting_services) {
         const task_ref ref = find_task(c.s, id);
         if (ref && !may_have_unreported_run(c, ref) && !is_held_back(c, id, ref)) {
-            found.emplace_back(ready_key_of(*ref.job, id), id);
+            const ready_key step = ready_key_of(*ref.job, id);
+            turns.push_back({step.priority, *ref.task->without_run_since, step, id});
         }
     }
-    std::sort(found.begin(), found.end());
+    std::sort(turns.begin(), turns.end());
     std::vector<graph_task_id> ids;
-    ids.reserve(found.size());
-    for (const auto& [key, id] : found) {
-        ids.push_back(id);
+    ids.reserve(turns.size());
+    for (const service_turn& each : turns) {
+        ids.push_back(each.task);
     }
     return ids;
 }
@@ -292,15 +305,23 @@
 {
     scheduler_state& s = c.s.scheduler;
     kept_rooms kept;
+    // No runner can be chosen for the other tasks of these either.
+    std::set<ready_key> steps_without_choice;
     for (const graph_task_id& id : services) {
         const task_ref ref = find_task(c.s, id);
+        const ready_key step = ready_key_of(*ref.job, id);
+        waiting_service& waiting = s.waiting_services.at(id);
         if (!is_choice_valid(c, kept, id, ref)) {
-            choose_runner(c, kept, runners, id, ref);
+            waiting.kept_on = {};
+            if (!steps_without_choice.contains(step)) {
+                choose_runner(c, kept, runners, id, ref);
+            }
         }
-        const runner_id& chosen = s.waiting_services.at(id).kept_on;
-        if (!chosen.value.empty()) {
-            kept[chosen] += ref.step->task_size;
+        if (waiting.kept_on.value.empty()) {
+            steps_without_choice.insert(step);
+            continue;
         }
+        kept[waiting.kept_on] += ref.step->task_size;
     }
     for (auto& [id, r] : s.runners) {
         const auto found = kept.find(id);
--- a/tests/test_central_services_first.cpp
+++ b/tests/test_central_services_first.cpp
@@ -2,6 +2,7 @@
 /// Services that have lost their runs, beside a backlog of batch tasks that takes all room as it
 /// comes free.
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -227,3 +228,44 @@
     cr_expect_geq(w.state_of(0).scheduler.ready.size(), jobs / 4, "the backlog is used up");
     expect_no_violation(w);
 }
+
+/// Guards against services that wait for ever while others that fail now and then take their room
+/// back (seen by users as LOST).
+Test(central_services_first, service_that_has_waited_longest_starts_first)
+{
+    constexpr std::uint32_t tasks_per_runner{8};
+    constexpr millis late{60'000};
+    central_world w{{.vms = 1, .runners = 2}};
+    w.run_for(warm_up);
+    for (const std::uint64_t n : {1, 2}) {
+        graph_job job =
+            central_world::make_job(id_of(n), 1, tasks_per_runner, n == 1 ? step : late);
+        job.steps[0].is_service = true;
+        w.submit(0, job);
+        w.run_for(start_time);
+    }
+    const std::size_t lost = w.runner(0).running.contains({{id_of(2)}, 0, 0, 0}) ? 0 : 1;
+    cr_assert_eq(w.runner(lost).running.size(), tasks_per_runner);
+    const auto runs_of_lost = w.runner(lost).running;
+    w.runner(lost).is_up = false;
+    w.faults.unreachable_runners.insert(lost);
+    w.set_listed(lost, false);
+    w.run_for(longest_run_lease + start_time);
+
+    fake_runner& left = w.runner(1 - lost);
+    std::set<graph_task_id> have_run_again;
+    for (std::uint32_t i{0}; i < tasks_per_runner; ++i) {
+        const auto of_first_job = left.running.begin();
+        left.fail(graph_task_id{of_first_job->first}, w.now());
+        // A runner on which several tasks fail is avoided for a while.
+        w.run_for(config::avoid_time + start_time);
+        for (const auto& [task, run] : left.running) {
+            have_run_again.insert(task);
+        }
+    }
+    for (const auto& [task, run] : runs_of_lost) {
+        cr_expect(have_run_again.contains(task), "task %u of job %s", task.index,
+                  task.job.value.c_str());
+    }
+    expect_no_violation(w);
+}
