Services that wait for room are offered what has gained room

Change: a step that fitted nowhere in the last pass is offered the runners that gained room since, and all of them once a second; the same holds for steps for which no room could be kept.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -180,6 +180,8 @@
 // Services that ran before and have no run.
 /// Placement offers them to the runners at least this often.
 inline constexpr millis service_check_period{100};
+/// Services that fitted nowhere are offered only runners that have gained room, but this often all.
+inline constexpr millis full_service_pass_period{1'000};
 /// Runners for which it estimates when they have room for one of them: those that lack the least.
 inline constexpr std::size_t max_estimated_runners{16};
 /// Another runner may be chosen when the room that is kept does not suffice this long after the
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -173,6 +173,10 @@
     /// At full speed, and at best effort for a starved job.
     step_rejection full_speed_rejection;
     step_rejection best_effort_rejection;
+    /// Number of the last pass of the waiting services in which no runner was feasible for its
+    /// tasks, and in which no room could be kept for one; 0: none.
+    std::uint64_t services_rejected_in{0};
+    std::uint64_t no_room_kept_in{0};
 };
 
 /// One repetition of a job; jobs without a schedule have exactly one.
@@ -368,6 +372,8 @@
     /// At the end of the last placement round; empty if it was not schedulable then, or if settings
     /// have changed since that are not part of it.
     std::optional<runner_offer> last_offer;
+    /// The waiting services were offered it in their last pass, and it has gained no room since.
+    bool is_offered_to_services{false};
     /// Runs there that belong to no current task; no run is placed there until they have ended.
     std::map<graph_task_id, orphan_run> orphans;
     /// Stop orders to this runner that are not answered yet.
@@ -419,6 +425,13 @@
     /// Latest time at which all its services certainly met their targets, or no leftover task ran
     /// beside them; empty while this holder of the lease has no evidence of such a time.
     std::optional<instant> targets_met_at;
+
+    /// Offers it again to all that it could not take.
+    void offer_again()
+    {
+        last_offer.reset();
+        is_offered_to_services = false;
+    }
 };
 
 /// Estimate of whether tasks of one image disturb services of another, learned from reports.
@@ -629,6 +642,9 @@
     /// Earliest time at which they are offered again, given the cost of the last time, and latest.
     instant next_services_at;
     instant services_check_at;
+    /// Passes of the waiting services so far, and when the next one offers them all runners.
+    std::uint64_t service_passes{0};
+    instant full_service_pass_at;
     instant service_wait_logged_at;
     /// Number of jobs in each queue of which no task has started yet.
     std::map<queue_id, std::uint64_t> pending;
--- a/src/central/handover.cpp
+++ b/src/central/handover.cpp
@@ -156,7 +156,7 @@
         if (was_usable || !may_grant_leases(c, r)) {
             continue;
         }
-        r.last_offer.reset();
+        r.offer_again();
         r.next_hold_at = std::min(r.next_hold_at, c.now);
         c.s.scheduler.placement_due = true;
         c.wake_by(c.now);
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <set>
+#include <iterator>
 
 namespace cuminmoor::central {
 
@@ -350,29 +350,49 @@
 
 /// Offers the waiting services to all runners.
 /// \return those that no runner can take now.
-std::vector<graph_task_id> place_services(const context& c,
-                                          const std::vector<runner_record*>& runners)
+std::vector<graph_task_id> place_services(const context& c, const service_pass& pass)
 {
     runner_selector selector{c};
     std::vector<graph_task_id> rejected;
-    // No runner is feasible for the other tasks of these either.
-    std::set<ready_key> rejected_steps;
     for (const graph_task_id& id : startable_services(c)) {
         const task_ref ref = find_task(c.s, id);
-        const ready_key step = ready_key_of(*ref.job, id);
+        std::uint64_t& rejected_in = ref.progress->services_rejected_in;
+        // If no runner is feasible for another task of the step, none is for this one.
+        const bool is_rejected = rejected_in == pass.number;
         runner_record* const r =
-            rejected_steps.contains(step) ? nullptr : selector.select_runner(runners, id, ref);
+            is_rejected ? nullptr : selector.select_runner(pass.runners_for(rejected_in), id, ref);
         if (r != nullptr) {
             start_task(c, id, ref, *r);
         }
         else {
+            rejected_in = pass.number;
             rejected.push_back(id);
-            rejected_steps.insert(step);
         }
     }
     return rejected;
 }
 
+service_pass begin_service_pass(const context& c)
+{
+    scheduler_state& s = c.s.scheduler;
+    service_pass pass{++s.service_passes, schedulable_runners(c), {}};
+    const bool is_full = c.now >= s.full_service_pass_at;
+    if (is_full) {
+        s.full_service_pass_at = c.now + config::full_service_pass_period;
+    }
+    std::copy_if(
+        pass.runners.begin(), pass.runners.end(), std::back_inserter(pass.changed),
+        [is_full](const runner_record* r) { return is_full || !r->is_offered_to_services; });
+    return pass;
+}
+
+void end_service_pass(const context& c)
+{
+    for (auto& [id, r] : c.s.scheduler.runners) {
+        r.is_offered_to_services = is_schedulable(c, r);
+    }
+}
+
 /// Places the services that ran before and have no run. Bounds of the rounds do not delay them, but
 /// only the cost of having offered them before.
 void place_waiting_services(const context& c)
@@ -393,8 +413,9 @@
     }
     s.services_due = false;
     const std::uint64_t scored_before = s.runners_scored;
-    const std::vector<runner_record*> runners = schedulable_runners(c);
-    keep_room(c, runners, place_services(c, runners));
+    const service_pass pass = begin_service_pass(c);
+    keep_room(c, pass, place_services(c, pass));
+    end_service_pass(c);
     log_waiting_services(c);
     const millis cost = time_for_scoring(c.s, s.runners_scored - scored_before);
     s.next_services_at = c.now + std::min(cost, config::max_placement_pause);
--- a/src/central/reduce.cpp
+++ b/src/central/reduce.cpp
@@ -33,7 +33,7 @@
             }
         }
         for (auto& [id, r] : c.s.scheduler.runners) {
-            r.last_offer.reset();
+            r.offer_again();
         }
     }
     if (e.view.out_of_service != known.out_of_service) {
--- a/src/central/reservations.cpp
+++ b/src/central/reservations.cpp
@@ -8,7 +8,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -300,25 +299,24 @@
     return ids;
 }
 
-void keep_room(const context& c, const std::vector<runner_record*>& runners,
+void keep_room(const context& c, const service_pass& pass,
                const std::vector<graph_task_id>& services)
 {
     scheduler_state& s = c.s.scheduler;
     kept_rooms kept;
-    // No runner can be chosen for the other tasks of these either.
-    std::set<ready_key> steps_without_choice;
     for (const graph_task_id& id : services) {
         const task_ref ref = find_task(c.s, id);
-        const ready_key step = ready_key_of(*ref.job, id);
+        std::uint64_t& no_room_kept_in = ref.progress->no_room_kept_in;
         waiting_service& waiting = s.waiting_services.at(id);
         if (!is_choice_valid(c, kept, id, ref)) {
             waiting.kept_on = {};
-            if (!steps_without_choice.contains(step)) {
-                choose_runner(c, kept, runners, id, ref);
+            // If there was no choice for another task of the step, there is none for this one.
+            if (no_room_kept_in != pass.number) {
+                choose_runner(c, kept, pass.runners_for(no_room_kept_in), id, ref);
             }
         }
         if (waiting.kept_on.value.empty()) {
-            steps_without_choice.insert(step);
+            no_room_kept_in = pass.number;
             continue;
         }
         kept[waiting.kept_on] += ref.step->task_size;
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -306,7 +306,7 @@
         r.entry.started_at_ms =
             is_new || known_started_at == 0 ? entry.started_at_ms : known_started_at;
         r.listed = true;
-        r.last_offer.reset();
+        r.offer_again();
         if (is_new) {
             r.latency_rise_budget = config::initial_latency_rise_budget;
             s.commits.runners_to_add.push_back(entry.id);
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -187,6 +187,7 @@
         }
     }
     r.reserved -= size;
+    r.is_offered_to_services = false;
 }
 
 void attach_run(const task_ref& ref, runner_record& r, const graph_task_id& id, const run& started)
--- a/tests/test_central_placement_cost.cpp
+++ b/tests/test_central_placement_cost.cpp
@@ -124,3 +124,45 @@
     cr_expect_geq(w.starts(), starts + tasks_per_runner - 1);
     expect_no_violation(w);
 }
+
+/// Services that wait for room were offered all runners again in each pass, and one by one. This
+/// took most of the scheduler's time while a hundred waited.
+Test(central_placement_cost, waiting_services_are_offered_what_has_changed)
+{
+    constexpr std::size_t lost_runners{12};
+    constexpr std::uint64_t services{runners};
+    central_world w = make_world();
+    for (std::uint64_t n{1}; n <= services; ++n) {
+        graph_job job = job_of_own_size(n, tasks_per_runner, {60'000});
+        job.steps[0].is_service = true;
+        // No runner takes more than `tasks_per_runner` of them.
+        const auto step = static_cast<std::int64_t>(n);
+        job.steps[0].task_size = {1'900 + step, 7'500 - step, 0};
+        w.submit(0, job);
+    }
+    w.run_for({2'000});
+    cr_assert_eq(w.starts(), services * tasks_per_runner);
+    for (std::size_t i{0}; i < lost_runners; ++i) {
+        w.runner(i).is_up = false;
+        w.faults.unreachable_runners.insert(i);
+        w.set_listed(i, false);
+    }
+    w.run_for({10'000});
+    const auto& s = w.state_of(0).scheduler;
+    cr_assert_eq(s.waiting_services.size(), lost_runners * tasks_per_runner);
+    const std::uint64_t scored_before = s.runners_scored;
+    const std::uint64_t passes_before = s.service_passes;
+    constexpr millis observed{5'000};
+    w.run_for(observed);
+    const std::uint64_t scored = s.runners_scored - scored_before;
+    const std::uint64_t passes = s.service_passes - passes_before;
+    cr_log_info("%lu runners scored in %lu passes", scored, passes);
+    cr_expect_geq(passes, observed.count / config::service_check_period.count / 2);
+    // To start a task of each step, and to keep room for one.
+    const std::uint64_t full_pass = 2 * services * (runners - lost_runners);
+    const auto full_passes =
+        static_cast<std::uint64_t>(observed.count / config::full_service_pass_period.count + 1);
+    cr_expect_leq(scored, full_passes * full_pass, "%lu runners scored in %lu passes", scored,
+                  passes);
+    expect_no_violation(w);
+}
