--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -96,9 +96,9 @@
 inline constexpr millis disturbed_runner_hold_wait{300};
 /// Timeout for the answer of a runner, in addition to the hold's wait.
 inline constexpr millis runner_timeout{2'000};
-/// A report that comes this much later than its hold's wait is overdue. A check of the runners that
-/// comes this late itself cannot tell.
+/// A report that comes this much later than its hold's wait is overdue.
 inline constexpr millis report_overdue_time{500};
+/// A check of the runners that comes this late itself cannot tell, as reports may wait to be read.
 inline constexpr millis max_check_delay{300};
 inline constexpr millis hold_retry{200};
 inline constexpr millis max_hold_retry{1'000};
@@ -190,6 +190,8 @@
 /// A wait of this length is logged, one at most in each period.
 inline constexpr millis logged_service_wait{1'000};
 inline constexpr millis service_wait_log_period{1'000};
+/// It names this many of the tasks that were started last.
+inline constexpr std::size_t logged_starts{3};
 
 // Disturbance of services by leftover tasks (tasks that use only spare processor time).
 /// Cores of a reference runner. Processor use is scaled to it, as the same use disturbs less on a
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -255,6 +255,8 @@
 
 /// A service task that ran before and has no run, see reservations.cpp.
 struct waiting_service {
+    /// `scheduler_state::starts` when it began to wait.
+    std::uint64_t starts_before{0};
     /// Runner on which room is kept for it, and when it is expected to suffice; empty: none.
     runner_id kept_on;
     instant expected_room_at;
@@ -642,6 +644,9 @@
     /// Earliest time at which they are offered again, given the cost of the last time, and latest.
     instant next_services_at;
     instant services_check_at;
+    /// Tasks started since the lease was won, and the last `logged_starts` of them.
+    std::uint64_t starts{0};
+    std::deque<graph_task_id> last_started;
     /// Passes of the waiting services so far, and when the next one offers them all runners.
     std::uint64_t service_passes{0};
     instant full_service_pass_at;
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -221,7 +221,10 @@
 /// Keeps room for services that no runner can take now: each on one runner, no more than it needs.
 void keep_room(const context& c, const service_pass& pass,
                const std::vector<graph_task_id>& services);
-/// Logs the longest wait, and what withholds the runners, from time to time.
+/// Records a start, for the log of services that wait meanwhile.
+void note_start(const context& c, const graph_task_id& id);
+/// Logs the longest wait, what withholds the runners and what was started meanwhile, from time to
+/// time.
 void log_waiting_services(const context& c);
 
 // ---- placement.cpp
--- a/src/central/reservations.cpp
+++ b/src/central/reservations.cpp
@@ -214,19 +214,31 @@
     return is_held_back(c, id, ref) ? "crashes" : "none";
 }
 
+std::string names_of(const std::deque<graph_task_id>& tasks)
+{
+    std::string names;
+    for (const graph_task_id& each : tasks) {
+        names += (names.empty() ? "" : ",") + to_string(each);
+    }
+    return names;
+}
+
 void log_wait(const context& c, const graph_task_id& id, const task_ref& ref)
 {
     withheld_runners counts;
     for (const auto& [runner, r] : c.s.scheduler.runners) {
         count_withheld(c, r, id, ref, counts);
     }
-    const auto& waiting = c.s.scheduler.waiting_services;
+    const scheduler_state& s = c.s.scheduler;
+    const auto& waiting = s.waiting_services;
     c.log("service_waits",
           {{"task", to_string(id)},
            {"waited_ms", absl::StrCat((c.now - *ref.task->without_run_since).count)},
            {"waiting", absl::StrCat(waiting.size())},
            {"task_withheld", withheld_because(c, id, ref)},
            {"kept_on", waiting.at(id).kept_on.value},
+           {"started_meanwhile", absl::StrCat(s.starts - waiting.at(id).starts_before)},
+           {"last_started", names_of(s.last_started)},
            {"room", absl::StrCat(counts.room)},
            {"label", absl::StrCat(counts.label)},
            {"limit", absl::StrCat(counts.limit)},
@@ -270,7 +282,17 @@
     if (!ref.task->without_run_since) {
         ref.task->without_run_since = c.now;
     }
-    c.s.scheduler.waiting_services.try_emplace(id);
+    c.s.scheduler.waiting_services.try_emplace(id, waiting_service{c.s.scheduler.starts, {}, {}});
+}
+
+void note_start(const context& c, const graph_task_id& id)
+{
+    scheduler_state& s = c.s.scheduler;
+    ++s.starts;
+    s.last_started.push_back(id);
+    if (s.last_started.size() > config::logged_starts) {
+        s.last_started.pop_front();
+    }
 }
 
 void remove_waiting_service(const context& c, const graph_task_id& id)
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -238,6 +238,7 @@
                run_number number)
 {
     unmark_task_ready(c, id, ref);
+    note_start(c, id);
     ref.task->status = task_status::active;
     ref.task->last_run = number;
     run started;
--- a/tests/test_central_services_first.cpp
+++ b/tests/test_central_services_first.cpp
@@ -188,7 +188,8 @@
     const auto seconds = static_cast<std::size_t>(observed.count / start_time.count);
     cr_expect_leq(lines.size(), seconds);
     cr_assert_geq(lines.size(), seconds - 1);
-    for (const char* const field : {"task_withheld=none", "room=5 ", "limit=0 ", "unusable=1"}) {
+    for (const char* const field : {"task_withheld=none", "room=5 ", "limit=0 ", "unusable=1",
+                                    "started_meanwhile=", "last_started="}) {
         cr_expect(lines[0].find(field) != std::string::npos, "%s in %s", field, lines[0].c_str());
     }
     expect_no_violation(f.w);
