Logs: names of started tasks by StrAppend

The release build of the deploy file failed on the line before: g++ 12 warns of an overlap that cannot be (-Wrestrict in the library's operator+).

--- a/src/central/reservations.cpp
+++ b/src/central/reservations.cpp
@@ -218,7 +218,7 @@
 {
     std::string names;
     for (const graph_task_id& each : tasks) {
-        names += (names.empty() ? "" : ",") + to_string(each);
+        absl::StrAppend(&names, names.empty() ? "" : ",", to_string(each));
     }
     return names;
 }
