Services: whether a run has survived its start is stored (LOST)

The first run counted too, which had worked for 3 s and was lost with its holder: a successor could not tell it from one that had just started.

Change: the row of a service job also tells which of its runs have survived their start, one more write for each start, with the others of its job. Only runs that have not are counted when they are lost with their holder, and an adopted run that has not must survive under the new holder.

service_that_had_worked_for_long_has_four_more_crashes failed before, with planned stops and kills; passes now.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -118,8 +118,8 @@
     /// Of these, crashes that nothing else explains.
     std::uint32_t attributed{0};
     /// A suspect or a service was started, and the outcome is not known yet. A successor that finds
-    /// no such run knows that it was lost. For services that are not suspects it is not stored, as
-    /// their place tells.
+    /// no such run knows that it was lost. For services it is not stored, as their place and
+    /// `task_record::has_survived_there` tell.
     bool has_open_run{false};
     /// Crashes for which it was a suspect under this holder of the lease; not stored.
     std::uint32_t suspected{0};
@@ -144,6 +144,8 @@
     /// Of a service task: the only runner on which it can run; empty: none. It is in the store
     /// before the start is ordered, so that a later holder of the lease knows whom to ask.
     runner_id placed_on;
+    /// Of a service task: its run there has survived its start, see crashes.cpp.
+    bool has_survived_there{false};
     std::string checkpoint;
     /// No unreported run of an earlier term can remain: a runner reported it running in this term,
     /// it was started in this term, or it could not have been started before.
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -231,7 +231,18 @@
 template <typename Archive>
 void serialize(Archive& archive, stored_progress& p)
 {
-    archive(p.state, p.occurrences, p.crashes, p.places);
+    archive(p.state, p.occurrences, p.crashes, p.places, p.survivors);
+}
+
+/// Progress as it was written before `survivors` was added.
+struct progress_without_survivors {
+    stored_progress progress;
+};
+
+template <typename Archive>
+void serialize(Archive& archive, progress_without_survivors& p)
+{
+    archive(p.progress.state, p.progress.occurrences, p.progress.crashes, p.progress.places);
 }
 
 /// Progress as it was written before `places` was added.
@@ -337,6 +348,9 @@
                 if (!tasks[i].placed_on.value.empty()) {
                     places[tasks[i].placed_on].push_back({k, step, i});
                 }
+                if (tasks[i].has_survived_there) {
+                    progress.survivors.push_back({k, step, i});
+                }
             }
         }
     }
@@ -390,6 +404,12 @@
             }
         }
     }
+    for (const task_position& at : progress.survivors) {
+        if (task_record* const task = find_task_at(progress, at)) {
+            task->has_survived_there = true;
+            task->crashes.has_open_run = false;
+        }
+    }
 }
 
 /// Decodes progress that was written before some parts were added.
@@ -541,7 +561,10 @@
 {
     auto progress = decode<stored_progress>(text, "job progress");
     if (!progress.ok()) {
-        auto earlier = decode_earlier_progress<progress_without_places>(text);
+        auto earlier = decode_earlier_progress<progress_without_survivors>(text);
+        if (!earlier.ok()) {
+            earlier = decode_earlier_progress<progress_without_places>(text);
+        }
         if (!earlier.ok()) {
             earlier = decode_earlier_progress<progress_without_crashes>(text);
         }
--- a/src/central/codec.h
+++ b/src/central/codec.h
@@ -59,6 +59,8 @@
     std::vector<stored_crashes> crashes;
     /// `task_record::placed_on` of the service tasks that have one.
     std::vector<stored_place> places;
+    /// The tasks of `places` that have `task_record::has_survived_there`.
+    std::vector<task_position> survivors;
 };
 
 std::string encode_head(const head_row& row);
--- a/src/central/crashes.cpp
+++ b/src/central/crashes.cpp
@@ -158,8 +158,7 @@
 void count_lost_with_holder(const context& c, const graph_task_id& id, const task_ref& ref)
 {
     crash_counts& counts = ref.task->crashes;
-    // The first such run may have worked for long. A later one has not survived its start: that
-    // would have cleared the count.
+    // So many may be lost at once that all would have to start isolated.
     counts.is_suspect = counts.is_suspect || counts.possible > 0;
     ++counts.possible;
     const runner_id runner = ref.task->placed_on;
@@ -316,7 +315,8 @@
         return;
     }
     current.has_survived_start = true;
-    if (ref.task->crashes.has_counted()) {
+    ref.task->has_survived_there = ref.step->is_service;
+    if (ref.task->has_survived_there || ref.task->crashes.is_suspect) {
         ref.task->crashes = {};
         mark_changed(c, *ref.job);
     }
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -57,6 +57,7 @@
 {
     if (ref.task->placed_on != place) {
         ref.task->placed_on = place;
+        ref.task->has_survived_there = false;
         mark_changed(c, *ref.job);
     }
 }
@@ -251,6 +252,7 @@
     if (started.awaits_store) {
         // Also if it was there before: that is known to be stored only after this change.
         ref.task->placed_on = r.entry.id;
+        ref.task->has_survived_there = false;
         mark_changed(c, *ref.job);
         c.s.scheduler.unstored_places[id] = ref.job->last_change;
         return;
--- a/tests/central/crash_loop.h
+++ b/tests/central/crash_loop.h
@@ -161,13 +161,15 @@
     millis work;
     /// From a crash until the runner is back.
     millis down;
+    /// From the first start to the first crash; 0: as later.
+    millis first_work{0};
 };
 
 inline void check_crash_loop(const loop_case& loop)
 {
     crash_loop l{static_cast<std::uint64_t>(loop.crashes) + loop.ends_with, loop.kind};
     for (int i{0}; i < loop.crashes; ++i) {
-        l.run_for(loop.work);
+        l.run_for(i == 0 ? std::max(loop.first_work, loop.work) : loop.work);
         l.crash_runner(loop.down);
         if ((loop.ends_with >> static_cast<unsigned>(i) & 1U) != 0) {
             l.end_scheduler(loop.how);
--- a/tests/test_central_codec.cpp
+++ b/tests/test_central_codec.cpp
@@ -221,15 +221,21 @@
     auto& tasks = job.occurrences[0].steps[0].tasks;
     tasks.resize(2);
     const std::string without_places = encode_progress(job);
+    tasks[0].placed_on = {"i-0"};
+    tasks[0].has_survived_there = true;
     tasks[1].placed_on = {"i-1"};
     const auto read = decode_progress(encode_progress(job));
     cr_assert(read.ok());
     const auto& read_tasks = read->occurrences[0].steps[0].tasks;
-    cr_assert(read_tasks[0].placed_on == runner_id{});
+    cr_assert(read_tasks[0].placed_on == runner_id{"i-0"});
+    cr_assert(read_tasks[0].has_survived_there);
+    cr_assert_not(read_tasks[0].crashes.has_open_run);
     cr_assert(read_tasks[1].placed_on == runner_id{"i-1"});
+    cr_assert_not(read_tasks[1].has_survived_there);
+    cr_assert(read_tasks[1].crashes.has_open_run);
 
     constexpr std::size_t empty_list_bytes{8};
-    for (const std::size_t lists : {1, 2}) {
+    for (const std::size_t lists : {1, 2, 3}) {
         const std::size_t bytes = without_places.size() - lists * empty_list_bytes;
         const auto earlier = decode_progress(without_places.substr(0, bytes));
         cr_assert(earlier.ok());
--- a/tests/test_central_crash_loops.cpp
+++ b/tests/test_central_crash_loops.cpp
@@ -21,6 +21,21 @@
     check_crash_loops(task_kind::service, 4, vm_end::kill);
 }
 
+/// A run that had worked for long and was lost with its holder counted as one that had not survived
+/// its start.
+Test(central_crash_loops, service_that_had_worked_for_long_has_four_more_crashes)
+{
+    constexpr millis long_work{5'000};
+    for (const vm_end how : {vm_end::planned_stop, vm_end::kill}) {
+        check_crash_loop({.crashes = 5,
+                          .ends_with = 0b11111,
+                          .how = how,
+                          .work = {150},
+                          .down = {1'400},
+                          .first_work = long_work});
+    }
+}
+
 /// Each new holder began the time anew for which the service is held back.
 Test(central_crash_loops, service_runs_again_despite_stops_in_series_after_its_crashes)
 {
