--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -204,6 +204,7 @@
 void remove_waiting_service(const context& c, const graph_task_id& id);
 /// \return the waiting services that may start now, by priority, then the longest waits first.
 std::vector<graph_task_id> startable_services(const context& c);
+
 /// One offer of the waiting services to the runners.
 struct service_pass {
     std::uint64_t number{0};
@@ -213,11 +214,14 @@
     std::vector<runner_record*> changed;
 
     /// \param rejected_in number of the last pass in which all runners rejected the step.
+    /// \return the runners to offer it now: those that rejected it in the last pass and have gained
+    /// no room since would reject it again.
     [[nodiscard]] const std::vector<runner_record*>& runners_for(std::uint64_t rejected_in) const
     {
         return rejected_in != 0 && rejected_in + 1 == number ? changed : runners;
     }
 };
+
 /// Keeps room for services that no runner can take now: each on one runner, no more than it needs.
 void keep_room(const context& c, const service_pass& pass,
                const std::vector<graph_task_id>& services);
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -348,7 +348,7 @@
     }
 }
 
-/// Offers the waiting services to all runners.
+/// Offers the waiting services to the runners of the pass.
 /// \return those that no runner can take now.
 std::vector<graph_task_id> place_services(const context& c, const service_pass& pass)
 {
--- a/src/central/run_reports.cpp
+++ b/src/central/run_reports.cpp
@@ -107,6 +107,7 @@
     }
     unmark_task_ready(c, reported.task, ref);
     ref.task->status = task_status::active;
+    keep_place(c, ref, r.entry.id);
     run adopted;
     adopted.runner = r.entry.id;
     adopted.number = reported.run;
@@ -118,7 +119,6 @@
         ref.step->is_service ? ref.task->has_survived_there : !ref.task->crashes.is_suspect;
     ref.task->last_run = std::max(ref.task->last_run, reported.run);
     attach_run(ref, r, reported.task, adopted);
-    keep_place(c, ref, r.entry.id);
     // Nobody can tell how long services have missed their targets beside it.
     r.targets_met_at.reset();
     mark_job_started(c, *ref.job);
