--- a/tests/central/crash_loop.h
+++ b/tests/central/crash_loop.h
@@ -217,12 +217,11 @@
     expect_no_violation(l.w);
 }
 
-inline void check_tasks_at_fault(task_kind kind)
+inline void check_tasks_at_fault(task_kind kind, vm_end how)
 {
     constexpr std::uint64_t seeds{24};
     for (std::uint64_t seed{1}; seed <= seeds; ++seed) {
-        check_task_at_fault(seed, kind, vm_end::planned_stop);
-        check_task_at_fault(seed, kind, vm_end::kill);
+        check_task_at_fault(seed, kind, how);
     }
 }
 
--- a/tests/soak/crash_loops.cpp
+++ b/tests/soak/crash_loops.cpp
@@ -6,19 +6,17 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
-#include <filesystem>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "judge.h"
+#include "log_folder.h"
 #include "supervisor.h"
 #include "world.h"
 
 namespace {
 
-namespace fs = std::filesystem;
-
 constexpr unsigned runner_count{10};
 constexpr std::array vm_names{"entry-1", "entry-2", "entry-3", "entry-4"};
 constexpr std::int64_t ready_limit_ms{20'000};
@@ -156,20 +154,11 @@
     soak::observations seen_;
 };
 
-std::string log_folder(const std::string& name)
-{
-    const char* const chosen = std::getenv("CUMINMOOR_SOAK_FOLDER");
-    return std::string{chosen == nullptr ? CUMINMOOR_SOAK_FOLDER : chosen} + "/" + name;
-}
-
 /// \return whether the case had no finding.
 bool play_one(const loop_case& played)
 {
     const std::string name{played.name};
-    const std::string folder = log_folder(name);
-    fs::remove_all(folder);
-    fs::create_directories(folder);
-    setenv("FOLDER", folder.c_str(), 1);
+    const std::string folder = soak::make_log_folder(name);
     const auto seen = loop_play{played, folder}.run();
     if (!seen) {
         std::printf("%s: NOT RUN: no VM is ready, or the service did not start; logs in %s\n",
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "judge.h"
+#include "log_folder.h"
 #include "play.h"
 
 namespace {
@@ -20,19 +21,10 @@
 /// it.
 constexpr std::int64_t kept_from_gap_ms{9'000};
 
-std::string log_folder(const std::string& seed)
-{
-    const char* const chosen = std::getenv("CUMINMOOR_SOAK_FOLDER");
-    return std::string{chosen == nullptr ? CUMINMOOR_SOAK_FOLDER : chosen} + "/" + seed;
-}
-
 /// \return whether the seed had no finding.
 bool soak_one(const std::string& seed)
 {
-    const std::string folder = log_folder(seed);
-    fs::remove_all(folder);
-    fs::create_directories(folder);
-    setenv("FOLDER", folder.c_str(), 1);
+    const std::string folder = soak::make_log_folder(seed);
     const auto seen = soak::play{std::stoull(seed), folder}.run();
     if (!seen) {
         std::printf("seed %s: NOT RUN: the VMs are not ready; logs in %s\n", seed.c_str(),
--- a/tests/test_central_crash_loops.cpp
+++ b/tests/test_central_crash_loops.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Services whose runner crashes again and again while the scheduling VM is stopped or lost, and
-/// services that crash their runners under several holders of the lease.
+/// Services and batch tasks whose runner crashes again and again while the scheduling VM is stopped
+/// or lost, and tasks that crash their runners under several holders of the lease.
 #include "central/crash_loop.h"
 
 using namespace cuminmoor;
@@ -21,6 +21,12 @@
     check_crash_loops(task_kind::service, 4, vm_end::kill);
 }
 
+Test(central_crash_loops, batch_task_runs_again_although_holders_end_between_crashes)
+{
+    check_crash_loops(task_kind::batch, 3, vm_end::planned_stop);
+    check_crash_loops(task_kind::batch, 3, vm_end::kill);
+}
+
 /// A run that had worked for long and was lost with its holder counted as one that had not survived
 /// its start.
 Test(central_crash_loops, service_that_had_worked_for_long_has_four_more_crashes)
@@ -84,5 +90,11 @@
 /// that ran beside it run again.
 Test(central_crash_loops, service_at_fault_is_held_back_although_the_lease_moves)
 {
-    check_tasks_at_fault(task_kind::service);
+    check_tasks_at_fault(task_kind::service, vm_end::planned_stop);
+    check_tasks_at_fault(task_kind::service, vm_end::kill);
+}
+
+Test(central_crash_loops, batch_task_at_fault_is_held_back_despite_planned_stops)
+{
+    check_tasks_at_fault(task_kind::batch, vm_end::planned_stop);
 }
