--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -71,9 +71,23 @@
                       wait, wait + config::runner_timeout, r.hold_was_unanswered});
 }
 
+void log_restart(const context& c, const runner_record& r, const runner_hold_ended& report)
+{
+    c.log("runner_restarted",
+          {{"runner", r.entry.id.value},
+           {"started_at", absl::StrCat(report.started_at_ms)},
+           {"started_before", absl::StrCat(r.entry.started_at_ms)},
+           {"clock_ms", absl::StrCat(report.clock.ms)},
+           {"runs_known", absl::StrCat(r.runs.size())},
+           {"runs_reported", absl::StrCat(report.running.size())},
+           {"ends_reported", absl::StrCat(report.ended.size())},
+           {"acknowledged", absl::StrCat(r.acknowledgement_delivered)}});
+}
+
 /// Resets the per-incarnation state of a runner that restarted under the same id.
 void begin_incarnation(const context& c, runner_record& r, const runner_hold_ended& report)
 {
+    log_restart(c, r, report);
     drop_unreported_runs(c, r, report);
     r.entry.started_at_ms = report.started_at_ms;
     r.last_processed_end = 0;
