Leases: a successor waits for leases that an unnoticed incarnation took (TWICE)

Callers saw: two runs of one task, after a planned stop of the VM that schedules.

Change: if the runner is younger than the longest lease and has runs, earlier leases count for that long. A runner without runs has none to wait for.

--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -142,6 +142,15 @@
     c.wake_by(r.next_hold_at);
 }
 
+/// \return the longest time until leases expire that earlier holders have given. They may not have
+/// noticed a restart of late.
+millis longest_earlier_lease(const context& c, const runner_hold_ended& report)
+{
+    const millis foreign = longest_foreign_lease(c.s);
+    const bool may_be_foreign = report.clock.ms < foreign.count && !report.running.empty();
+    return may_be_foreign ? foreign : longest_lease(c.s);
+}
+
 void process_hold_report(const context& c, runner_record& r, const runner_hold_ended& e)
 {
     const bool other_incarnation = r.entry.started_at_ms != 0 && e.started_at_ms != 0 &&
@@ -168,7 +177,7 @@
         // The runner rejects orders of earlier terms from now on, so earlier holders can extend no
         // lease on it.
         r.is_fenced = true;
-        r.leases_expire_by = c.now + longest_lease(c.s);
+        r.leases_expire_by = c.now + longest_earlier_lease(c, e);
     }
     if (!r.is_responsive) {
         log_runner(c, "runner_found", r, absl::StrCat("runs reported ", e.running.size()));
--- a/tests/test_central_incarnations.cpp
+++ b/tests/test_central_incarnations.cpp
@@ -65,6 +65,26 @@
     expect_no_violation(w);
 }
 
+/// The same under a successor that hears from the runner before it is cut off.
+Test(central_incarnations, successor_waits_for_the_lease_of_an_unnoticed_incarnation)
+{
+    central_world w{{.vms = 2, .runners = 2}};
+    w.crash_breaks_connections = false;
+    w.run_for(long_life);
+    w.crash_runner(0);
+    const std::size_t before = *w.scheduler();
+    w.submit(before, make_service(1, 8));
+    w.run_for({300});
+    cr_assert(!w.runner(0).running.empty());
+    w.stop_gracefully(before);
+    w.run_for({1'000});
+    cr_assert(w.scheduler() && *w.scheduler() != before);
+    w.faults.unreachable_runners.insert(0);
+    w.run_for(until_leases_have_expired);
+    cr_assert_eq(w.runner(1).running.size(), 8);
+    expect_no_violation(w);
+}
+
 /// A start without an answer may be carried out after the scheduler has learned of the incarnation
 /// that received it.
 Test(central_incarnations, start_that_may_still_come_is_stopped_by_the_incarnation_that_has_it)
