--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -148,8 +148,9 @@
     /// Of a service task: its run there has survived its start, see crashes.cpp.
     bool has_survived_there{false};
     std::string checkpoint;
-    /// No unreported run of an earlier term can remain: a runner reported it running in this term,
-    /// it was started in this term, or it could not have been started before.
+    /// No unreported run of an earlier term can remain: a runner reported it running when the holder
+    /// before had certainly given its last order, it was started in this term, or it could not have
+    /// been started before.
     bool is_reconciled{false};
     /// Of a service task that ran before and has no run: since when, as far as this holder of the
     /// lease knows; not stored.
@@ -370,6 +371,8 @@
     /// When the last hold was sent, and the one that the last report answers.
     instant hold_sent_at;
     instant report_requested_at;
+    /// Earliest time at which the last report can have been made, see `report_made_at`.
+    instant report_made_at;
     /// Resources reserved for its runs; excludes the processor time of leftover tasks.
     resources reserved;
     /// Processor time requested by its leftover tasks, in thousandths of a core.
--- a/src/central/handover.cpp
+++ b/src/central/handover.cpp
@@ -235,6 +235,14 @@
                              {"all_answered", all_answered ? "true" : "false"}});
 }
 
+void reconcile(const context& c, const runner_record& r, const task_ref& ref)
+{
+    const instant last_earlier_order = c.s.lease.predecessor_leases_end - longest_lease(c.s);
+    if (r.report_made_at >= last_earlier_order) {
+        ref.task->is_reconciled = true;
+    }
+}
+
 bool may_have_unreported_run(const context& c, const task_ref& ref)
 {
     const scheduler_state& s = c.s.scheduler;
--- a/src/central/handover.h
+++ b/src/central/handover.h
@@ -29,6 +29,11 @@
 void begin_recovery(const context& c);
 /// Ends the recovery once all runs of earlier terms are known.
 void end_recovery_if_complete(const context& c);
+/// Called for a run that a report lists: notes that its task can have no other run of an earlier
+/// term, if the report was made after the holder before had certainly given its last order.
+/// Until then that holder may learn of the run's end from a hold that it sent before, and start the
+/// task or what depends on it elsewhere.
+void reconcile(const context& c, const runner_record& r, const task_ref& ref);
 /// \return true if an unreported run of an earlier term may still execute on some runner.
 bool may_have_unreported_run(const context& c, const task_ref& ref);
 
--- a/src/central/jobs.cpp
+++ b/src/central/jobs.cpp
@@ -50,8 +50,8 @@
 }
 
 /// Unblocks the dependent steps of a finished step; ends the job after its last unfinished step.
-/// \param was_reconciled whether the step's last task was reconciled in this term. No earlier term
-/// processed its end, so none started the dependent steps.
+/// \param was_reconciled whether the step's last task was reconciled in this term. No earlier
+/// holder learned of its end while it gave orders, so none started the dependent steps.
 void finish_step(const context& c, job_record& job, std::uint32_t occurrence, std::uint32_t step,
                  bool was_reconciled)
 {
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -129,8 +129,8 @@
 /// \return the longest local time until a lease given now expires, assuming the slowest permitted
 /// runner clock.
 millis longest_lease(const central_state& s);
-/// \return the same for a lease whose end is on the clock of an earlier incarnation: the runner cuts
-/// it to the longest that it accepts.
+/// \return the same for a lease whose end is on the clock of an earlier incarnation: the runner
+/// cuts it to the longest that it accepts.
 millis longest_foreign_lease(const central_state& s);
 
 // ---- run_orders.cpp: results of orders
--- a/src/central/run_reports.cpp
+++ b/src/central/run_reports.cpp
@@ -1,11 +1,12 @@
 /// \file
 /// Processing of runner reports: applies ended runs, adopts runs started in earlier terms and
 /// handles runs that are missing from a report.
-#include "runs.h"
+#include "handover.h"
 
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
+#include "runs.h"
 
 namespace cuminmoor::central {
 
@@ -136,6 +137,7 @@
         return;
     }
     run& known = *ref.task->current_run;
+    reconcile(c, r, ref);
     if (known.phase == run_phase::stopping) {
         repeat_unexecuted_stop(c, r, reported);
     }
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -42,6 +42,18 @@
     return std::min(c.now, r.report_clock->seen_at + passed * 100 / config::slow_clock_percent);
 }
 
+/// \return the earliest time at which a report of the known incarnation can have been made: after
+/// its request, and as much later than the report before as the runner's clock shows, which may be
+/// slow but not fast.
+instant report_made_at(const runner_record& r, remote_instant clock)
+{
+    if (!r.report_clock || clock < r.report_clock->shown) {
+        return r.hold_sent_at;
+    }
+    const millis passed{clock.ms - r.report_clock->shown.ms};
+    return std::max(r.hold_sent_at, r.report_made_at + passed);
+}
+
 /// \return true if a row that releases the lease was sent: it says that no more leases are granted.
 bool may_be_released(const lease_state& l)
 {
@@ -88,8 +100,8 @@
 void begin_incarnation(const context& c, runner_record& r, const runner_hold_ended& report)
 {
     log_restart(c, r, report);
-    drop_unreported_runs(c, r, report);
     r.entry.started_at_ms = report.started_at_ms;
+    drop_unreported_runs(c, r, report);
     r.last_processed_end = 0;
     r.acknowledged = 0;
     r.acknowledgement_delivered = 0;
@@ -165,6 +177,7 @@
         r.unproven.reset();
     }
     r.report_requested_at = r.hold_sent_at;
+    r.report_made_at = report_made_at(r, e.clock);
     r.last_alive = clock_sample{e.clock, c.now};
     if (e.started_at_ms != 0) {
         r.entry.started_at_ms = e.started_at_ms;
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -202,7 +202,6 @@
 void attach_run(const task_ref& ref, runner_record& r, const graph_task_id& id, const run& started)
 {
     ref.task->current_run = started;
-    ref.task->is_reconciled = true;
     ++ref.job->active_runs;
     const bool was_shared = hosts_services_and_leftover(r);
     reserve_for_run(r, ref, id);
@@ -257,6 +256,7 @@
     started.awaits_store = ref.step->is_service;
     started.is_isolated = ref.task->crashes.is_suspect;
     attach_run(ref, r, id, started);
+    ref.task->is_reconciled = true;
     if (started.awaits_store) {
         // Also if it was there before: that is known to be stored only after this change.
         ref.task->placed_on = r.entry.id;
--- a/tests/central/fake_runner.cpp
+++ b/tests/central/fake_runner.cpp
@@ -117,6 +117,18 @@
         }
         return is_known;
     });
+    answer = report(now);
+    answer.term = hold.term;
+    return answer;
+}
+
+runner_hold_ended fake_runner::report(instant now)
+{
+    advance(now);
+    runner_hold_ended answer;
+    answer.runner = entry.id;
+    answer.clock = clock(now);
+    answer.started_at_ms = entry.started_at_ms;
     answer.result = order_result::done;
     for (const auto& [task, r] : running) {
         answer.running.push_back({task, r.number, "", 100, load_of ? load_of(task) : 0});
--- a/tests/central/fake_runner.h
+++ b/tests/central/fake_runner.h
@@ -51,6 +51,8 @@
     /// Extends leases and applies the acknowledgement.
     /// \return the report.
     runner_hold_ended handle(const runner_hold& hold, instant now);
+    /// \return what it answers a hold that it has accepted before, whatever it has seen since.
+    runner_hold_ended report(instant now);
     /// Ends the task's run as failed; no effect if there is none.
     void fail(const graph_task_id& task, instant now);
     /// Restarts the runner: all runs and all state of the incarnation are lost without a report.
