Runs: ends that a listed runner may still report are waited for (TWICE)

Users saw: a task that had ended as done started again, and the end was noted then.

An expired lease shows that a run has ended, not how.

Change: a runner that is still listed is asked once more after its leases have expired, before its tasks start elsewhere. Services have no end to report and are missed soon, so they do not wait.

tasks_whose_ends_are_reported_after_their_leases_start_once: nine starts of six tasks without the change (5,750 ms of silence), six with it.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -368,8 +368,10 @@
     instant leases_expire_by;
     /// The last one of this kind.
     std::optional<unproven_lease> unproven;
-    /// When the last hold was sent, and the one that the last report answers.
+    /// When the last hold was sent, the last one that failed, and the one that the last report
+    /// answers.
     instant hold_sent_at;
+    instant failed_hold_sent_at;
     instant report_requested_at;
     /// Earliest time at which the last report can have been made, see `report_made_at`.
     instant report_made_at;
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -159,6 +159,8 @@
 void release_run(const context& c, const graph_task_id& id, task_ref ref);
 /// Why no run of a runner can exist any more.
 enum class loss_evidence : std::uint8_t { other_incarnation, leases_expired };
+/// Marks the runs of services on a runner as lost, as all leases there have expired.
+void mark_services_lost(const context& c, runner_record& r);
 /// Marks all runs on a runner as lost.
 void mark_all_runs_lost(const context& c, runner_record& r, loss_evidence evidence);
 /// Marks runs as lost if a restarted runner does not report them. A run is stopped instead if its
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -133,6 +133,7 @@
 {
     ++r.holds_failed;
     r.hold_was_unanswered = result == order_result::unknown;
+    r.failed_hold_sent_at = r.hold_sent_at;
     if (r.is_responsive) {
         log_runner(c, "runner_lost", r,
                    result == order_result::other_incarnation ? "other incarnation" : "");
@@ -268,7 +269,15 @@
     c.s.scheduler.placement_due = true;
 }
 
-/// Marks all runs of an unresponsive runner as lost after their leases have expired.
+/// \return true if tasks that end may start again elsewhere although no report has shown how their
+/// runs there ended. A runner that is still listed may be found again at any time with ends that
+/// were not reported, so it is asked once more after its leases have expired.
+bool is_given_up(const runner_record& r)
+{
+    return !r.listed || r.failed_hold_sent_at > r.leases_end();
+}
+
+/// Marks the runs of an unresponsive runner as lost after their leases have expired.
 ///
 /// A successor may have extended the leases, but not before this VM sent the last successful
 /// renewal of its own lease. That time must therefore be later than the expiry.
@@ -277,11 +286,14 @@
     if (r.is_responsive || r.runs.empty() || r.holds_failed == 0) {
         return;
     }
-    if (c.s.lease.renewed_at > r.leases_end()) {
+    if (c.s.lease.renewed_at <= r.leases_end()) {
+        renew_after_expiry(c, r);
+    }
+    else if (is_given_up(r)) {
         mark_all_runs_lost(c, r, loss_evidence::leases_expired);
     }
     else {
-        renew_after_expiry(c, r);
+        mark_services_lost(c, r);
     }
 }
 
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr const char* leases_expired_cause{"the leases expired while the runner did not answer"};
+
 std::vector<log_field> fields_of(const context& c, const graph_task_id& id, const run& r,
                                  const std::string& outcome)
 {
@@ -307,11 +309,22 @@
     c.s.scheduler.placement_due = true;
 }
 
+void mark_services_lost(const context& c, runner_record& r)
+{
+    const std::vector<graph_task_id> known{r.runs.begin(), r.runs.end()};
+    for (const graph_task_id& id : known) {
+        const task_ref ref = find_task(c.s, id);
+        if (ref && ref.task->current_run && ref.step->is_service) {
+            mark_run_lost(c, r, id, ref, leases_expired_cause);
+        }
+    }
+}
+
 void mark_all_runs_lost(const context& c, runner_record& r, loss_evidence evidence)
 {
     const bool has_restarted = evidence == loss_evidence::other_incarnation;
     const std::string cause = has_restarted ? "another incarnation answers at the runner's address"
-                                            : "the leases expired while the runner did not answer";
+                                            : leases_expired_cause;
     const std::vector<graph_task_id> lost_runs{r.runs.begin(), r.runs.end()};
     const std::vector<graph_task_id> suspects = crash_suspects(c, r);
     for (const graph_task_id& id : lost_runs) {
--- /dev/null
+++ b/tests/test_central_given_up_runs.cpp
@@ -0,0 +1,74 @@
+/// \file
+/// Runs on a runner that does not answer until their leases have expired, and that reports their
+/// ends soon after.
+#include <criterion/criterion.h>
+
+#include "central/expectations.h"
+
+using namespace cuminmoor;
+using namespace cuminmoor::central;
+using namespace cuminmoor::central::test;
+
+namespace {
+
+constexpr std::size_t silent{0};
+constexpr std::uint32_t tasks{6};
+constexpr millis run_time{1'000};
+/// From a start until its lease has certainly expired.
+constexpr millis longest_run_lease{6'250};
+constexpr millis longest_silence{longest_run_lease + millis{400}};
+constexpr millis until_done{12'000};
+
+} // namespace
+
+/// Users saw TWICE: the tasks had ended as done while no report came through, and started again as
+/// soon as their leases had expired, half a second before the runner was found.
+Test(central_given_up_runs, tasks_whose_ends_are_reported_after_their_leases_start_once)
+{
+    for (millis silence{5'000}; silence < longest_silence; silence = silence + millis{50}) {
+        central_world w{{.vms = 1, .runners = 2}};
+        w.run_for(warm_up);
+        w.submit(0, central_world::make_job(id_of(1), 1, tasks, run_time));
+        w.run_for({100});
+        w.faults.unreachable_runners.insert(silent);
+        w.run_for(silence);
+        w.faults.unreachable_runners.erase(silent);
+        w.run_for(until_done);
+        w.query(0, id_of(1));
+        w.run_for({500});
+        cr_assert(w.all_done(job_state::completed));
+        cr_assert_eq(w.starts(), tasks, "%ld ms: %lu starts", static_cast<long>(silence.count),
+                     static_cast<unsigned long>(w.starts()));
+        expect_no_violation(w);
+    }
+}
+
+/// The wait is for ends: a service has none to report, and is missed.
+Test(central_given_up_runs, services_of_a_silent_runner_start_once_their_leases_have_expired)
+{
+    central_world w{{.vms = 1, .runners = 2}};
+    w.run_for(warm_up);
+    graph_job job = central_world::make_job(id_of(1), 1, tasks, run_time);
+    job.steps[0].is_service = true;
+    w.submit(0, job);
+    w.run_for({100});
+    w.faults.unreachable_runners.insert(silent);
+    w.run_for(longest_run_lease + millis{2'300});
+    cr_assert_eq(w.runner(1).running.size(), tasks);
+    expect_no_violation(w);
+}
+
+/// A runner that stays silent is given up.
+Test(central_given_up_runs, tasks_of_a_runner_that_stays_silent_start_elsewhere)
+{
+    central_world w{{.vms = 1, .runners = 2}};
+    w.run_for(warm_up);
+    w.submit(0, central_world::make_job(id_of(1), 1, tasks, run_time));
+    w.run_for({100});
+    w.faults.unreachable_runners.insert(silent);
+    w.run_for(longest_run_lease + until_done);
+    w.query(0, id_of(1));
+    w.run_for({500});
+    cr_assert(w.all_done(job_state::completed));
+    expect_no_violation(w);
+}
