Simulated runners: another one at the address answers that it is not meant

The test uses that; what it checks has not changed. Orders that the client sends again over a new connection are not lost on a reset one.

--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -756,7 +756,7 @@
     if (is_known && kept->second.ends == ends) {
         return kept->second.opened_at;
     }
-    if (is_known) {
+    if (is_known && order.kind == order_kind::start) {
         order_connections_.erase(kept);
         return std::nullopt;
     }
@@ -778,6 +778,11 @@
         return;
     }
     fake_runner& r = runners_[runner];
+    if (order.runner != r.entry.id) {
+        ended.result = order_result::other_incarnation;
+        schedule_event(vm, incarnation, network_time, ended);
+        return;
+    }
     const bool was_running = r.running.contains(order.task);
     const order_result result = r.handle(order, behaviour_of(order), now_);
     const bool has_started =
@@ -864,6 +869,14 @@
         return;
     }
     fake_runner& r = runners_[runner];
+    if (hold.runner != r.entry.id) {
+        runner_hold_ended misdirected;
+        misdirected.runner = hold.runner;
+        misdirected.term = hold.term;
+        misdirected.result = order_result::other_incarnation;
+        schedule_event(vm, incarnation, network_time, misdirected);
+        return;
+    }
     const connection_ends used{incarnation, r.incarnation()};
     const auto kept = hold_connections_.find({vm, hold.runner});
     const bool is_kept =
@@ -997,6 +1010,21 @@
     runners_[runner].crash(now_);
 }
 
+void central_world::replace_runner(std::size_t runner)
+{
+    runners_[runner].crash_and_change_id(now_);
+    publish_registry();
+}
+
+void central_world::publish_registry()
+{
+    for (std::size_t i{0}; i < vms_.size(); ++i) {
+        if (vms_[i].is_up && vms_[i].follows_registry && store_answers(i)) {
+            schedule_registry(i);
+        }
+    }
+}
+
 void central_world::crash_runner_for_a_while(std::size_t runner)
 {
     crash_runner(runner);
@@ -1012,31 +1040,19 @@
 void central_world::set_capacity(std::size_t runner, const resources& capacity)
 {
     runners_[runner].entry.capacity = capacity;
-    for (std::size_t i{0}; i < vms_.size(); ++i) {
-        if (vms_[i].is_up && vms_[i].follows_registry && store_answers(i)) {
-            schedule_registry(i);
-        }
-    }
+    publish_registry();
 }
 
 void central_world::drain_runner(std::size_t runner)
 {
     runners_[runner].entry.draining = true;
-    for (std::size_t i{0}; i < vms_.size(); ++i) {
-        if (vms_[i].is_up && vms_[i].follows_registry && store_answers(i)) {
-            schedule_registry(i);
-        }
-    }
+    publish_registry();
 }
 
 void central_world::set_listed(std::size_t runner, bool listed)
 {
     listed_[runner] = listed;
-    for (std::size_t i{0}; i < vms_.size(); ++i) {
-        if (vms_[i].is_up && vms_[i].follows_registry && store_answers(i)) {
-            schedule_registry(i);
-        }
-    }
+    publish_registry();
 }
 
 void central_world::change_manifest(const std::function<void(manifest&)>& change)
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -120,6 +120,8 @@
     [[nodiscard]] bool is_flushing(std::size_t vm) const { return vms_[vm].is_flushing; }
     /// The runner loses all its runs and is up again at once.
     void crash_runner(std::size_t runner);
+    /// The same, but another runner is up at its address.
+    void replace_runner(std::size_t runner);
     /// The runner loses all its runs and cannot be reached for `crash_downtime`.
     void crash_runner_for_a_while(std::size_t runner);
     /// Changes a runner's capacity in the registry. What runs there goes on.
@@ -251,6 +253,8 @@
     void deliver(std::size_t vm, std::uint64_t incarnation, const rows_read& e, instant sent_at);
     void schedule_control_rows(std::size_t vm, bool whole);
     void schedule_registry(std::size_t vm);
+    /// Lets all VMs that follow the registry read it.
+    void publish_registry();
     void schedule_operators(std::size_t vm);
     void poll_store_reachability(std::size_t vm);
     void start_vm(std::size_t vm);
@@ -267,7 +271,7 @@
     void deliver_order(std::size_t vm, const runner_order& order, instant connected_at,
                        bool is_answered, std::uint64_t incarnation);
     /// \return when the connection was opened over which an order goes; empty if the kept one
-    /// breaks: a restarted runner resets it, and the order is lost.
+    /// breaks: a restarted runner resets it, and a start is lost while other orders are sent again.
     std::optional<instant> connect(std::size_t vm, const runner_order& order,
                                    std::uint64_t incarnation);
     void deliver_hold(std::size_t vm, const runner_hold& hold, std::uint64_t incarnation);
--- a/tests/central/fake_runner.cpp
+++ b/tests/central/fake_runner.cpp
@@ -162,6 +162,13 @@
     ++entry.started_at_ms;
 }
 
+void fake_runner::crash_and_change_id(instant now)
+{
+    crash(now);
+    const std::string former = entry.id.value.substr(0, entry.id.value.find('.'));
+    entry.id.value = former + "." + std::to_string(entry.started_at_ms);
+}
+
 bool fake_runner::has_unacknowledged_end() const
 {
     return !unacknowledged_ends_.empty();
--- a/tests/central/fake_runner.h
+++ b/tests/central/fake_runner.h
@@ -57,6 +57,8 @@
     void fail(const graph_task_id& task, instant now);
     /// Restarts the runner: all runs and all state of the incarnation are lost without a report.
     void crash(instant now);
+    /// The same, and it comes back under another id, as a new runner at the same address.
+    void crash_and_change_id(instant now);
 
     /// \return the time of the next end of a run or lease.
     [[nodiscard]] instant next_end() const;
--- a/tests/test_central_faults.cpp
+++ b/tests/test_central_faults.cpp
@@ -419,6 +419,9 @@
         case 8:
             w_.crash_runner(runner);
             break;
+        case 11:
+            w_.replace_runner(runner);
+            break;
         case 9:
             w_.faults.unreachable_runner_paths.insert({vm, runner});
             break;
--- a/tests/test_central_silent_runners.cpp
+++ b/tests/test_central_silent_runners.cpp
@@ -105,7 +105,7 @@
     f.w.faults.unreachable_runners.insert(silent);
     const graph_task_id task = fail_service(f, sound);
     f.w.run_for(order_timeout - millis{100});
-    f.w.runner(silent).crash(f.w.now());
+    f.w.runner(silent).crash_and_change_id(f.w.now());
     f.w.faults.unreachable_runners.clear();
     f.w.run_for(millis{100} + restart_time);
     cr_expect(runs_on_reachable_runner(f, task));
