--- a/daemon/asio_http_client.cpp
+++ b/daemon/asio_http_client.cpp
@@ -289,8 +289,8 @@
     std::vector<connection_ptr> idle;
     /// Carried the last answer to a bound call; in no other list. Null: none.
     connection_ptr bound;
-    /// The last bound call.
-    call_number last_bound{0};
+    /// The call that it answered.
+    call_number bound_by{0};
     std::size_t open{0};
     /// Calls that have a connection and are not urgent; mirrors `on_connection_`.
     std::size_t ordinary{0};
@@ -350,7 +350,6 @@
     {
         host_pool& pool = hosts_[call->call.address];
         if (is_bound(call->call)) {
-            pool.last_bound = call->number;
             const bool is_kept = pool.bound != nullptr && pool.bound->current() == nullptr;
             if (is_kept && !call->call.fresh_connection && !call->resent) {
                 send(pool.bound, std::move(call));
@@ -461,8 +460,8 @@
         c->set_answered_at(clock_.now());
         call_ptr call = c->take_call();
         unbook(*call);
-        if (is_bound(call->call) && hosts_[c->address()].last_bound == call->number) {
-            bind(c);
+        if (binds(*call)) {
+            bind(c, call->number);
         }
         else {
             put_back(c);
@@ -470,14 +469,25 @@
         finish(std::move(call), http_outcome::answered, "");
     }
 
+    /// \return true if the connection that answered the call is for the next bound one. An answer
+    /// to an earlier call may come later, and a refusal may come from another process.
+    [[nodiscard]] bool binds(const pending_call& call)
+    {
+        constexpr int http_ok{200};
+        return is_bound(call.call) && call.result.status == http_ok &&
+               call.number > hosts_[call.call.address].bound_by;
+    }
+
     /// Keeps a connection for the next bound call.
-    void bind(const connection_ptr& c)
+    void bind(const connection_ptr& c, call_number by)
     {
         if (!c->is_reusable()) {
             close(c);
             return;
         }
-        const connection_ptr before = std::exchange(hosts_[c->address()].bound, c);
+        host_pool& pool = hosts_[c->address()];
+        pool.bound_by = by;
+        const connection_ptr before = std::exchange(pool.bound, c);
         if (before != nullptr && before != c && before->current() == nullptr) {
             close(before);
         }
--- a/daemon/http_client.h
+++ b/daemon/http_client.h
@@ -38,10 +38,10 @@
     /// Goes before calls that wait for a connection and are not urgent. Only by the client without
     /// a thread, which keeps one connection for such calls to each address that has had one.
     bool is_urgent{false};
-    /// Not null: `body` may reach one life of the other process only, the one that has answered the
-    /// last call of this kind to the address, so it goes over that connection. If that is gone, or
-    /// breaks without a byte of an answer, this goes over another one instead. Only by the client
-    /// without a thread, which keeps that connection for such calls.
+    /// Not null: `body` may reach one life of the other process only, the one that has answered 200
+    /// to the last call of this kind to the address, so it goes over that connection. If that is
+    /// gone, or breaks without a byte of an answer, this goes over another one instead. Only by the
+    /// client without a thread, which keeps that connection for such calls.
     body_text unbound_body;
     /// Adds X-Deadline-Ms, the time left when the bytes go.
     bool sends_deadline{false};
