Reports: tasks of an occurrence that is not due here yet count (TWICE)

Found by the review: a holder whose time of day is ahead starts an occurrence that its successor does not know as started. The successor dropped the reported ends, acknowledged them, and started the tasks again once the occurrence was due.

Change: a report of such a task starts the occurrence here, too.

tasks_of_an_occurrence_that_is_not_due_yet_start_once failed (more than four starts of four tasks) and passes.

--- a/src/central/jobs.cpp
+++ b/src/central/jobs.cpp
@@ -286,6 +286,18 @@
     }
 }
 
+void start_occurrence(const context& c, job_record& job, std::uint32_t occurrence)
+{
+    init_occurrence(job, occurrence);
+    job.idle_since = c.now;
+    const auto& steps = job.occurrences[occurrence].steps;
+    for (std::uint32_t step{0}; step < steps.size(); ++step) {
+        if (steps[step].unfinished_dependencies == 0) {
+            mark_step_ready(c, job, occurrence, step);
+        }
+    }
+}
+
 void start_due_occurrences(const context& c, job_record& job)
 {
     refresh_queue_settings(c, job);
@@ -305,13 +317,23 @@
             continue;
         }
         ++open;
-        init_occurrence(job, k);
-        job.idle_since = c.now;
-        for (std::uint32_t step{0}; step < o.steps.size(); ++step) {
-            if (o.steps[step].unfinished_dependencies == 0) {
-                mark_step_ready(c, job, k, step);
-            }
-        }
+        start_occurrence(c, job, k);
+    }
+}
+
+void start_reported_occurrence(const context& c, const graph_task_id& id)
+{
+    const auto found = c.s.scheduler.jobs.find(id.job);
+    if (found == c.s.scheduler.jobs.end() || found->second.has_ended()) {
+        return;
+    }
+    job_record& job = found->second;
+    const bool was_started_before =
+        id.occurrence >= job.occurrences.size() || job.occurrences[id.occurrence].is_started;
+    if (!was_started_before) {
+        c.log("occurrence_started_before", {{"task", to_string(id)}});
+        start_occurrence(c, job, id.occurrence);
+        mark_changed(c, job);
     }
 }
 
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -90,6 +90,9 @@
 job_record make_job(const graph_job& spec, const queue& queue_settings, instant submitted_at);
 /// Starts every occurrence that is due and schedules the others.
 void start_due_occurrences(const context& c, job_record& job);
+/// Starts the occurrence of a task that a runner reports, unless it is started: the holder before
+/// has started it, as its time of day was ahead.
+void start_reported_occurrence(const context& c, const graph_task_id& id);
 /// Creates the records of an occurrence's steps and tasks.
 void init_occurrence(job_record& job, std::uint32_t occurrence);
 /// Marks the tasks of all steps without unfinished dependencies as ready.
--- a/src/central/run_reports.cpp
+++ b/src/central/run_reports.cpp
@@ -129,6 +129,7 @@
 
 void process_reported_run(const context& c, runner_record& r, const reported_run& reported)
 {
+    start_reported_occurrence(c, reported.task);
     const task_ref ref = find_task(c.s, reported.task);
     const bool is_known = is_current_run(ref, r.entry.id, reported.run);
     if (!is_known && !adopt_run(c, r, reported, ref)) {
@@ -198,6 +199,7 @@
         log_orphan_ended(c, r, e.task, orphan->second, name_of(e.cause));
         r.orphans.erase(orphan);
     }
+    start_reported_occurrence(c, e.task);
     const task_ref ref = find_task(c.s, e.task);
     if (!ref) {
         return;
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -47,14 +47,14 @@
     return absl::StrCat("10.0.0.", vm + 1, ":7000");
 }
 
+} // namespace
+
 millis wall_clock_at(instant now)
 {
     constexpr std::int64_t epoch_ms{1'700'000'000'000};
     return {epoch_ms + now.ms};
 }
 
-} // namespace
-
 central_world::central_world(const world_options& options)
     : options_{options}, random_{options.seed}, vms_(options.vms), listed_(options.runners, true)
 {
@@ -205,7 +205,7 @@
         v.next_tick = v.paused_until;
         return;
     }
-    const effects out = reduce(v.state, e, now_, wall_clock_at(now_));
+    const effects out = reduce(v.state, e, now_, wall_clock_at(now_) + v.wall_clock_ahead);
     for (const effect& each : out) {
         check_place(each);
         execute(vm, each);
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -90,6 +90,9 @@
     [[nodiscard]] bool was_always_refused() const { return attempts > 0 && attempts == refusals; }
 };
 
+/// \return the time of day since the epoch, as VMs see it whose clocks are right.
+millis wall_clock_at(instant now);
+
 class central_world {
 public:
     explicit central_world(const world_options& options);
@@ -113,6 +116,8 @@
     /// Pauses a VM's process when it is about to send its next start order. This order and those
     /// behind it are sent when the process resumes, and what arrived meanwhile is processed then.
     void pause_at_next_start(std::size_t vm, millis time) { vms_[vm].pause_at_next_start = time; }
+    /// Sets a VM's time of day ahead of the others'.
+    void set_wall_clock_ahead(std::size_t vm, millis by) { vms_[vm].wall_clock_ahead = by; }
     /// Pauses a VM's process at once. What arrives meanwhile is processed when it resumes.
     void freeze(std::size_t vm, millis time) { vms_[vm].paused_until = now_ + time; }
     [[nodiscard]] bool is_paused(std::size_t vm) const { return vms_[vm].paused_until > now_; }
@@ -185,6 +190,7 @@
         bool store_was_reachable{false};
         /// See `pause_at_next_start`; 0: no pause is due.
         millis pause_at_next_start{0};
+        millis wall_clock_ahead{0};
         instant paused_until;
         /// When the link has transferred all queued pages.
         instant link_free_at;
--- a/tests/test_central_deposed_holders.cpp
+++ b/tests/test_central_deposed_holders.cpp
@@ -68,3 +68,29 @@
         expect_no_violation(d.w);
     }
 }
+
+/// An occurrence that the holder before has started, as its time of day was ahead, is not due yet
+/// for its successor, which acknowledged the ends of its tasks without storing them.
+Test(central_deposed_holders, tasks_of_an_occurrence_that_is_not_due_yet_start_once)
+{
+    constexpr millis ahead{4'000};
+    constexpr millis until_due{1'500};
+    constexpr millis interval{20'000};
+    central_world w{{.vms = 2, .runners = 2}};
+    w.run_for(warm_up);
+    const std::size_t before = *w.scheduler();
+    w.set_wall_clock_ahead(before, ahead);
+    graph_job job = central_world::make_job(id_of(1), 1, 2, {100});
+    job.repeats = {2, wall_clock_at(w.now()) + ahead + until_due, interval};
+    w.submit(before, job);
+    w.run_for(until_due - millis{100});
+    w.faults.vms_without_store.insert(before);
+    w.run_for(until_due);
+    w.kill(before);
+    w.run_for(interval * 2);
+    w.query(1 - before, id_of(1));
+    w.run_for({500});
+    cr_assert(w.all_done(job_state::completed));
+    cr_assert_eq(w.starts(), 4);
+    expect_no_violation(w);
+}
