--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -150,6 +150,7 @@
         }
         metrics_.record(e, clock_.now());
         const central::effects out = central::reduce(state_, e, clock_.now(), wall_time());
+        queue_.set_next_tick(state_.wake_at);
         for (const central::effect& each : out) {
             std::visit([this](const auto& x) { execute(x); }, each);
         }
@@ -199,8 +200,8 @@
 
     void arm_timer()
     {
-        const bool needs_no_tick = queue_.has_tick() || state_.shutdown_reported;
-        if (needs_no_tick || (is_timer_armed_ && timer_due_at_ <= state_.wake_at)) {
+        const bool is_armed = is_timer_armed_ && timer_due_at_ <= state_.wake_at;
+        if (is_armed || state_.shutdown_reported) {
             return;
         }
         is_timer_armed_ = true;
--- a/daemon/event_queue.cpp
+++ b/daemon/event_queue.cpp
@@ -22,7 +22,6 @@
 
 void event_queue::push(central::event e)
 {
-    has_tick_ = has_tick_ || std::holds_alternative<central::tick>(e);
     auto& to = central::may_be_overtaken(e) ? overtaken_ : prompt_;
     to.push_back(std::move(e));
 }
@@ -30,11 +29,12 @@
 void event_queue::begin_slice(instant now)
 {
     const millis others = slice_ended_at_ ? now - *slice_ended_at_ : millis{0};
-    slice_ = slice{now + std::max(runner_event_slice, others)};
+    slice_ = slice{now, now + std::max(runner_event_slice, others + owed_)};
 }
 
 void event_queue::end_slice(instant now)
 {
+    owed_ = needs_slice() && slice_ ? std::max(millis{0}, slice_->end - now) : millis{0};
     slice_.reset();
     slice_ended_at_ = needs_slice() ? std::optional{now} : std::nullopt;
 }
@@ -42,16 +42,37 @@
 std::optional<central::event> event_queue::take(instant now)
 {
     if (!prompt_.empty()) {
-        return pop_front(prompt_);
+        central::event e = pop_front(prompt_);
+        if (auto* const tick = std::get_if<central::tick>(&e)) {
+            tick->unread_reports = unread_reports();
+        }
+        return e;
     }
-    const bool is_open = slice_ && (!slice_->is_used || now < slice_->end);
-    if (!is_open || overtaken_.empty()) {
+    if (!is_open(now) || overtaken_.empty()) {
         return std::nullopt;
     }
     slice_->is_used = true;
-    central::event e = pop_front(overtaken_);
-    has_tick_ = has_tick_ && !std::holds_alternative<central::tick>(e);
-    return e;
+    return pop_front(overtaken_);
+}
+
+bool event_queue::is_open(instant now) const
+{
+    if (!slice_ || !slice_->is_used) {
+        return slice_.has_value();
+    }
+    const bool is_tick_due = now >= next_tick_ && now - slice_->begin >= runner_event_slice;
+    return now < slice_->end && !is_tick_due;
+}
+
+std::set<central::runner_id> event_queue::unread_reports() const
+{
+    std::set<central::runner_id> runners;
+    for (const central::event& e : overtaken_) {
+        if (const central::runner_id* const runner = central::reporting_runner(e)) {
+            runners.insert(*runner);
+        }
+    }
+    return runners;
 }
 
 } // namespace cuminmoor::io
--- a/include/cuminmoor/central/event.h
+++ b/include/cuminmoor/central/event.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -386,20 +387,30 @@
 // ---- Process -------------------------------------------------------------------------------
 
 /// The time in `central_state::wake_at` has come. Only ticks run the checks of runners.
-struct tick {};
+struct tick {
+    /// Runners whose reports have arrived and were not processed yet: no check takes one of them
+    /// for silent.
+    std::set<runner_id> unread_reports;
+};
 struct stop_requested {};
 
 using event = std::variant<tick, stop_requested, caller_call, peer_call_received, peer_call_ended,
                            rows_committed, rows_read_done, registry_changed, operator_changed,
                            control_changed, store_reachable, runner_order_ended, runner_hold_ended>;
 
-/// \return true for results from runners and for ticks. All other events may be processed before
-/// these, but these keep their order of arrival among each other: a tick must not find a runner
-/// silent whose report arrived before it.
+/// \return true for results from runners. All other events may be processed before these, but these
+/// keep their order of arrival among each other.
 inline bool may_be_overtaken(const event& e)
 {
     return std::holds_alternative<runner_hold_ended>(e) ||
-           std::holds_alternative<runner_order_ended>(e) || std::holds_alternative<tick>(e);
+           std::holds_alternative<runner_order_ended>(e);
+}
+
+/// \return the runner whose report the event is, or null.
+inline const runner_id* reporting_runner(const event& e)
+{
+    const auto* const ended = std::get_if<runner_hold_ended>(&e);
+    return ended != nullptr && ended->result == order_result::done ? &ended->runner : nullptr;
 }
 
 using effect = std::variant<peer_call, answer_call, rows_commit, rows_read, watch_registry,
--- a/src/central/handover.cpp
+++ b/src/central/handover.cpp
@@ -209,7 +209,7 @@
     log_recovery_begun(c);
 }
 
-void end_recovery_if_complete(const context& c)
+void end_recovery_if_complete(const context& c, const std::set<runner_id>& unread_reports)
 {
     scheduler_state& s = c.s.scheduler;
     if (!s.recovering) {
@@ -218,6 +218,10 @@
     bool all_answered = s.register_known;
     bool has_unlisted_ends{false};
     for (auto& [id, r] : s.runners) {
+        if (r.has_unreported_runs && unread_reports.contains(id)) {
+            has_unlisted_ends = true;
+            continue;
+        }
         s.placement_due = expire_unreported_runs(c, r) || s.placement_due;
         if (!r.is_responsive && r.has_unreported_runs) {
             renew_after_expiry(c, r);
--- a/src/central/handover.h
+++ b/src/central/handover.h
@@ -28,7 +28,8 @@
 /// runners were loaded.
 void begin_recovery(const context& c);
 /// Ends the recovery once all runs of earlier terms are known.
-void end_recovery_if_complete(const context& c);
+/// \param unread_reports see `tick`.
+void end_recovery_if_complete(const context& c, const std::set<runner_id>& unread_reports);
 /// \return true if an unreported run of an earlier term may still execute on some runner.
 bool may_have_unreported_run(const context& c, const task_ref& ref);
 
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -121,7 +122,8 @@
 // ---- runners.cpp: runners, holds and leases
 void on_registry_changed(const context& c, const registry_changed& e);
 void on_hold_ended(const context& c, const runner_hold_ended& e);
-void check_runners(const context& c);
+/// \param unread_reports see `tick`.
+void check_runners(const context& c, const std::set<runner_id>& unread_reports);
 void acknowledge_stored_ends(const context& c);
 /// Extends the lease of all runs on the runner, counted from now.
 /// \return the end of the lease on the runner's clock; empty until that clock is known.
@@ -129,8 +131,8 @@
 /// \return the longest local time until a lease given now expires, assuming the slowest permitted
 /// runner clock.
 millis longest_lease(const central_state& s);
-/// \return the same for a lease whose end is on the clock of an earlier incarnation: the runner cuts
-/// it to the longest that it accepts.
+/// \return the same for a lease whose end is on the clock of an earlier incarnation: the runner
+/// cuts it to the longest that it accepts.
 millis longest_foreign_lease(const central_state& s);
 
 // ---- run_orders.cpp: results of orders
--- a/src/central/reduce.cpp
+++ b/src/central/reduce.cpp
@@ -104,9 +104,10 @@
                e);
 }
 
-/// Runs the periodic checks. Those of runners run on ticks only, behind the reports that arrived
-/// before; the others must be on time however many reports wait.
-void check_all(const context& c, bool is_tick)
+/// Runs the periodic checks. Those of runners run on ticks only, which tell of the reports that
+/// wait.
+/// \param t null if the checks run with another event.
+void check_all(const context& c, const tick* t)
 {
     check_members(c);
     check_lease(c);
@@ -114,8 +115,8 @@
     if (c.is_scheduler()) {
         check_jobs(c);
     }
-    if (c.is_scheduler() && is_tick) {
-        check_runners(c);
+    if (c.is_scheduler() && t != nullptr) {
+        check_runners(c, t->unread_reports);
         relocate_throttled_tasks(c);
     }
     check_calls(c);
@@ -133,17 +134,17 @@
 {
     effects out;
     const context c{s, out, now, wall_time};
-    const bool is_tick = std::holds_alternative<tick>(e);
-    const bool is_due = is_tick || (now >= s.wake_at && now >= s.next_check_at);
+    const tick* const t = std::get_if<tick>(&e);
+    const bool is_due = t != nullptr || (now >= s.wake_at && now >= s.next_check_at);
     if (is_due) {
         s.next_check_at = now + config::min_check_interval;
     }
-    if (is_tick) {
+    if (t != nullptr) {
         s.wake_at = now + config::tick_period;
     }
     dispatch(c, e);
     if (is_due) {
-        check_all(c, is_tick);
+        check_all(c, t);
     }
     place_ready_tasks(c);
     send_commit(c);
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -276,6 +276,16 @@
     }
 }
 
+/// Draws conclusions from the silence of a runner. None of its reports may wait to be read.
+void check_silence(const context& c, runner_record& r, bool is_late)
+{
+    drop_runs_with_expired_leases(c, r);
+    if (!is_late) {
+        mark_if_overdue(c, r);
+    }
+    pause_if_reports_are_overdue(c, r);
+}
+
 /// \return true if the runner is unlisted, unresponsive and without runs: either it has reported
 /// its runs in this term and all of them ended, or all leases have expired.
 bool can_remove_runner(const runner_record& r, instant renewed_at)
@@ -399,7 +409,7 @@
     }
 }
 
-void check_runners(const context& c)
+void check_runners(const context& c, const std::set<runner_id>& unread_reports)
 {
     if (!c.is_scheduler()) {
         return;
@@ -411,11 +421,9 @@
     auto& runners = c.s.scheduler.runners;
     for (auto it = runners.begin(); it != runners.end();) {
         runner_record& r = it->second;
-        drop_runs_with_expired_leases(c, r);
-        if (!is_late) {
-            mark_if_overdue(c, r);
+        if (!unread_reports.contains(it->first)) {
+            check_silence(c, r, is_late);
         }
-        pause_if_reports_are_overdue(c, r);
         end_probation_when_due(c, r);
         if (!c.s.scheduler.recovering && can_remove_runner(r, c.s.lease.renewed_at)) {
             log_runner(c, "runner_forgotten", r, "");
@@ -428,7 +436,7 @@
         send_hold_if_due(c, r);
         ++it;
     }
-    end_recovery_if_complete(c);
+    end_recovery_if_complete(c, unread_reports);
 }
 
 } // namespace cuminmoor::central
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -128,7 +128,7 @@
     v.follows_registry = false;
     v.store_was_reachable = false;
     v.next_tick = now_;
-    v.is_tick_waiting = false;
+    v.unread_reports.clear();
     v.waits_until = now_;
     ++v.incarnation;
     poll_store_reachability(vm);
@@ -184,10 +184,15 @@
         return;
     }
     v.waits_until = turn;
-    v.is_tick_waiting = v.is_tick_waiting || std::holds_alternative<tick>(e);
+    if (const runner_id* const runner = reporting_runner(e)) {
+        v.unread_reports.insert(*runner);
+    }
     schedule(turn, [this, vm, incarnation = v.incarnation, e] {
-        if (vms_[vm].is_up && vms_[vm].incarnation == incarnation) {
-            vms_[vm].is_tick_waiting = vms_[vm].is_tick_waiting && !std::holds_alternative<tick>(e);
+        entry_vm& waiting = vms_[vm];
+        if (waiting.is_up && waiting.incarnation == incarnation) {
+            if (const runner_id* const runner = reporting_runner(e)) {
+                waiting.unread_reports.erase(waiting.unread_reports.find(*runner));
+            }
             deliver_event(vm, e);
         }
     });
@@ -205,7 +210,9 @@
         v.next_tick = v.paused_until;
         return;
     }
-    const effects out = reduce(v.state, e, now_, wall_clock_at(now_));
+    const bool is_tick = std::holds_alternative<tick>(e);
+    const tick timer{{v.unread_reports.begin(), v.unread_reports.end()}};
+    const effects out = reduce(v.state, is_tick ? event{timer} : e, now_, wall_clock_at(now_));
     for (const effect& each : out) {
         check_place(each);
         execute(vm, each);
@@ -227,7 +234,7 @@
     while (now_ < end) {
         instant next = end;
         for (const entry_vm& v : vms_) {
-            const bool has_timer = v.is_up && !v.is_flushing && !v.is_tick_waiting;
+            const bool has_timer = v.is_up && !v.is_flushing;
             next = has_timer ? std::min(next, v.next_tick) : next;
         }
         if (!actions_.empty()) {
@@ -247,7 +254,7 @@
         }
         for (std::size_t i{0}; i < vms_.size(); ++i) {
             const entry_vm& v = vms_[i];
-            const bool has_timer = v.is_up && !v.is_flushing && !v.is_tick_waiting;
+            const bool has_timer = v.is_up && !v.is_flushing;
             if (has_timer && v.next_tick <= now_) {
                 queue_event(i, tick{});
             }
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -48,7 +48,7 @@
     std::size_t link_bytes_per_ms{0};
     /// Delay of the runners' reports on their way to a VM.
     millis report_delay{0};
-    /// Time for which results of runners, and ticks, wait at a VM while other events overtake them.
+    /// Time for which results of runners wait at a VM while other events overtake them.
     millis runner_event_wait{0};
     /// Share of orders to runners that are executed but not answered.
     double lost_orders{0};
@@ -177,7 +177,8 @@
         bool follows_registry{false};
         std::uint64_t incarnation{0};
         instant next_tick;
-        bool is_tick_waiting{false};
+        /// Runners whose reports wait.
+        std::multiset<runner_id> unread_reports;
         /// When the last of the events that wait is processed.
         instant waits_until;
         bool store_was_reachable{false};
