--- a/daemon/central_metrics.cpp
+++ b/daemon/central_metrics.cpp
@@ -64,6 +64,9 @@
 void central_metrics::record(const central::event& e, instant now)
 {
     increment(std::string{"event_"} + central::name_of(e));
+    if (std::holds_alternative<central::tick>(e)) {
+        last_tick_at_ = now;
+    }
     if (const auto* const call = std::get_if<central::caller_call>(&e)) {
         call_arrived_at_.emplace(call->handle, now);
         record_call_taken(call->handle, call->kind, now);
@@ -164,7 +167,8 @@
     histograms_->lag(static_cast<double>(lag.count));
 }
 
-std::string central_metrics::render(const central::central_state& s, const line_log& log) const
+std::string central_metrics::render(const central::central_state& s, const line_log& log,
+                                    instant now) const
 {
     std::ostringstream out;
     for (const auto& [name, value] : counters_) {
@@ -172,6 +176,8 @@
     }
     out << "cuminmoor_log_lines_left_out_total " << log.dropped_lines() << '\n'
         << "cuminmoor_log_routine_lines_left_out_total " << log.dropped_routine_lines() << '\n'
+        << "cuminmoor_since_last_tick_ms " << (last_tick_at_ ? (now - *last_tick_at_).count : 0)
+        << '\n'
         << "cuminmoor_is_scheduler " << (s.lease.current_role == central::role::scheduler ? 1 : 0)
         << '\n'
         << "cuminmoor_manifest_version " << s.operators.newest.version << '\n'
--- a/daemon/central_metrics.h
+++ b/daemon/central_metrics.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "cuminmoor/central/state.h"
@@ -37,7 +38,8 @@
     void record_lag(millis lag);
 
     /// \return all metrics in Prometheus's text format.
-    [[nodiscard]] std::string render(const central::central_state& s, const line_log& log) const;
+    [[nodiscard]] std::string render(const central::central_state& s, const line_log& log,
+                                     instant now) const;
 
 private:
     struct histograms;
@@ -55,6 +57,8 @@
     std::map<central::call_handle, instant> forwarded_at_;
     std::map<std::uint64_t, instant> commit_sent_at_;
     std::map<std::pair<central::graph_task_id, central::run_number>, instant> start_sent_at_;
+    /// Empty before the first.
+    std::optional<instant> last_tick_at_;
     std::unique_ptr<histograms> histograms_;
 };
 
--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -55,7 +55,7 @@
         : settings_{s}, log_{clock_, s.vm.value, s.failure_domain.value}, state_{make_state(s)},
           http_{make_asio_http_client(context_, clock_, connections_per_address)},
           dependencies_{context_, clock_, *http_, *this, log_, settings_},
-          peers_{dependencies_, [this] { return metrics_.render(state_, log_); }},
+          peers_{dependencies_, [this] { return metrics_.render(state_, log_, clock_.now()); }},
           deployment_{make_deployment(dependencies_)}, timer_{context_}, signals_{context_, SIGTERM,
                                                                                   SIGINT, SIGHUP}
     {
--- a/tests/test_daemon_central_peers.cpp
+++ b/tests/test_daemon_central_peers.cpp
@@ -131,7 +131,7 @@
     metrics.record(received, cm::instant{1'015});
     metrics.record(central::answer_call{handle, {}}, cm::instant{1'115});
     io::system_clock clock;
-    const std::string text = metrics.render({}, io::line_log{clock, "vm1", "fd1"});
+    const std::string text = metrics.render({}, io::line_log{clock, "vm1", "fd1"}, {});
     for (const std::string line :
          {"cancel_wait_ms_bucket{le=\"10\"} 0", "cancel_wait_ms_bucket{le=\"20\"} 1",
           "peer_call_held_ms_bucket{le=\"100\"} 0", "peer_call_held_ms_bucket{le=\"200\"} 1"}) {
@@ -147,7 +147,7 @@
     start.waited = cm::millis{1'500};
     metrics.record(start, cm::instant{1'000});
     io::system_clock clock;
-    const std::string text = metrics.render({}, io::line_log{clock, "vm1", "fd1"});
+    const std::string text = metrics.render({}, io::line_log{clock, "vm1", "fd1"}, {});
     for (const std::string line :
          {"service_wait_ms_bucket{le=\"1000\"} 0", "service_wait_ms_bucket{le=\"2000\"} 1"}) {
         cr_assert(text.find("cuminmoor_" + line + "\n") != std::string::npos, "%s", line.c_str());
@@ -174,3 +174,14 @@
     const auto end = f.run(server.address(), central::call_kind::cancel);
     cr_assert(end.answer.has_value());
 }
+
+Test(central_metrics, time_since_last_tick_is_shown)
+{
+    io::central_metrics metrics;
+    metrics.record(central::tick{}, cm::instant{1'000});
+    metrics.record(central::runner_hold_ended{}, cm::instant{1'300});
+    io::system_clock clock;
+    const std::string text =
+        metrics.render({}, io::line_log{clock, "vm1", "fd1"}, cm::instant{1'400});
+    cr_assert(text.find("cuminmoor_since_last_tick_ms 400\n") != std::string::npos);
+}
