--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -150,6 +150,7 @@
         }
         metrics_.record(e, clock_.now());
         const central::effects out = central::reduce(state_, e, clock_.now(), wall_time());
+        central::end_step(state_, clock_.now());
         queue_.set_next_tick(state_.wake_at);
         for (const central::effect& each : out) {
             std::visit([this](const auto& x) { execute(x); }, each);
--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -161,6 +161,8 @@
 /// longer than the pause: capacity that became free stands idle meanwhile.
 inline constexpr std::int64_t max_scored_runners_per_ms{2'000};
 inline constexpr millis max_placement_pause{200};
+/// Longest pause after a round that took long in fact, as the process may have been paused.
+inline constexpr millis max_pause_after_slow_round{1'000};
 /// A round that has scored this many runners for steps that it offered all runners in vain offers
 /// further steps only the changed runners, and leaves the rest to the next round. It also offers no
 /// more changed runners than may be scored this often by all steps.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -703,6 +703,9 @@
     instant last_placement_at;
     /// Earliest time of the next placement round, given the cost of the last.
     instant next_placement_at;
+    /// When the last step began, if it had a placement round or a pass of the waiting services.
+    std::optional<instant> round_began_at;
+    std::optional<instant> service_pass_began_at;
     /// Position of the first unchanged runner that the next round offers once more.
     std::size_t next_reoffered_runner{0};
     /// Number of placement rounds since the lease was won.
@@ -787,4 +790,9 @@
 /// \return the effects, in the order of execution.
 effects reduce(central_state& s, const event& e, instant now, millis wall_time);
 
+/// Tells how long the last step took: placement that took long waits as long, so that it never has
+/// more than half of a busy loop's time.
+/// \param now when `reduce` returned.
+void end_step(central_state& s, instant now);
+
 } // namespace cuminmoor::central
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <cstdint>
 #include <iterator>
+#include <optional>
+#include <utility>
 
 namespace cuminmoor::central {
 
@@ -412,6 +414,7 @@
         return;
     }
     s.services_due = false;
+    s.service_pass_began_at = c.now;
     const std::uint64_t scored_before = s.runners_scored;
     const service_pass pass = begin_service_pass(c);
     keep_room(c, pass, place_services(c, pass));
@@ -450,6 +453,7 @@
     if (s.ready.empty()) {
         return;
     }
+    s.round_began_at = c.now;
     placement_round round = begin_round(c);
     const std::vector<ready_key> order{s.ready.begin(), s.ready.end()};
     for (const ready_key& key : order) {
@@ -458,4 +462,17 @@
     end_round(round, order.size());
 }
 
+void end_step(central_state& s, instant now)
+{
+    scheduler_state& placed = s.scheduler;
+    if (const auto began = std::exchange(placed.round_began_at, std::nullopt)) {
+        const millis pause = std::min(now - *began, config::max_pause_after_slow_round);
+        placed.next_placement_at = std::max(placed.next_placement_at, now + pause);
+    }
+    if (const auto began = std::exchange(placed.service_pass_began_at, std::nullopt)) {
+        const millis pause = std::min(now - *began, config::max_placement_pause);
+        placed.next_services_at = std::max(placed.next_services_at, now + pause);
+    }
+}
+
 } // namespace cuminmoor::central
--- a/tests/test_central_placement_cost.cpp
+++ b/tests/test_central_placement_cost.cpp
@@ -166,3 +166,25 @@
                   passes);
     expect_no_violation(w);
 }
+
+/// Rounds that took longer than expected followed each other without a pause.
+Test(central_placement_cost, slow_round_is_followed_by_a_pause_of_the_same_length)
+{
+    constexpr millis slow{80};
+    central_world w = make_world();
+    for (std::uint64_t n{1}; n <= runners + 1; ++n) {
+        w.submit(0, central_world::make_job(id_of(n), 1, tasks_per_runner, {20'000}));
+    }
+    w.run_for({1'000});
+    central_state s = w.state_of(0);
+    const auto rounds_after_change_at = [&s](instant now) {
+        reduce(s, registry_changed{}, now, millis{0});
+        return s.scheduler.placement_rounds;
+    };
+    const std::uint64_t before = s.scheduler.placement_rounds;
+    const instant begin = w.now() + millis{200};
+    cr_assert_eq(rounds_after_change_at(begin), before + 1);
+    end_step(s, begin + slow);
+    cr_expect_eq(rounds_after_change_at(begin + slow * 2 - millis{1}), before + 1);
+    cr_expect_eq(rounds_after_change_at(begin + slow * 2), before + 2);
+}
