--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -55,7 +55,7 @@
         : settings_{s}, log_{clock_, s.vm.value, s.failure_domain.value}, state_{make_state(s)},
           http_{make_asio_http_client(context_, clock_, connections_per_address)},
           dependencies_{context_, clock_, *http_, *this, log_, settings_},
-          peers_{dependencies_, [this] { return metrics_.render(state_, log_); }},
+          peers_{dependencies_, [this] { return metrics_.render(state_, log_, clock_.now()); }},
           deployment_{make_deployment(dependencies_)}, timer_{context_}, signals_{context_, SIGTERM,
                                                                                   SIGINT, SIGHUP}
     {
@@ -150,6 +150,8 @@
         }
         metrics_.record(e, clock_.now());
         const central::effects out = central::reduce(state_, e, clock_.now(), wall_time());
+        central::end_step(state_, clock_.now());
+        queue_.set_next_tick(state_.wake_at);
         for (const central::effect& each : out) {
             std::visit([this](const auto& x) { execute(x); }, each);
         }
@@ -199,8 +201,8 @@
 
     void arm_timer()
     {
-        const bool needs_no_tick = queue_.has_tick() || state_.shutdown_reported;
-        if (needs_no_tick || (is_timer_armed_ && timer_due_at_ <= state_.wake_at)) {
+        const bool is_armed = is_timer_armed_ && timer_due_at_ <= state_.wake_at;
+        if (is_armed || state_.shutdown_reported) {
             return;
         }
         is_timer_armed_ = true;
--- a/src/central/handover.h
+++ b/src/central/handover.h
@@ -28,7 +28,8 @@
 /// runners were loaded.
 void begin_recovery(const context& c);
 /// Ends the recovery once all runs of earlier terms are known.
-void end_recovery_if_complete(const context& c);
+/// \param unread_reports see `tick`.
+void end_recovery_if_complete(const context& c, const std::set<runner_id>& unread_reports);
 /// Called for a run that a report lists: notes that its task can have no other run of an earlier
 /// term, if the report was made after the holder before had certainly given its last order.
 /// Until then that holder may learn of the run's end from a hold that it sent before, and start the
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -124,7 +125,8 @@
 // ---- runners.cpp: runners, holds and leases
 void on_registry_changed(const context& c, const registry_changed& e);
 void on_hold_ended(const context& c, const runner_hold_ended& e);
-void check_runners(const context& c);
+/// \param unread_reports see `tick`.
+void check_runners(const context& c, const std::set<runner_id>& unread_reports);
 void acknowledge_stored_ends(const context& c);
 /// Extends the lease of all runs on the runner, counted from now.
 /// \return the end of the lease on the runner's clock; empty until that clock is known.
