--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -1016,6 +1016,11 @@
 void central_world::crash_runner(std::size_t runner)
 {
     runners_[runner].crash(now_);
+    if (crash_breaks_connections) {
+        // The VMs see that, and open new ones.
+        std::erase_if(order_connections_,
+                      [&](const auto& kept) { return index_of(kept.first.second) == runner; });
+    }
 }
 
 void central_world::replace_runner(std::size_t runner)
