--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -31,6 +31,9 @@
 inline constexpr std::int64_t claim_jitter_ms{200};
 /// Additional delay of claims by VMs with insufficient capacity.
 inline constexpr millis small_vm_claim_delay{600};
+/// A VM with insufficient capacity claims only after the store has answered it for this long. In
+/// this time a larger one whose transaction the store did not answer gives it up, retries and wins.
+inline constexpr millis small_vm_claim_wait{2'400};
 /// Minimum share of the largest VM's capacity, in percent, that counts as sufficient.
 inline constexpr std::int64_t sufficient_capacity_percent{60};
 /// A holder with insufficient capacity keeps the lease at least this long before it hands it over.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -560,6 +560,9 @@
     /// Number of the newest commit of the lease row; answers to earlier commits are ignored.
     std::uint64_t last_commit{0};
     instant retry_at;
+    /// The first of the answered reads of the head row since a read failed, the lease's row changed
+    /// or a claim was sent. Kept by VMs with insufficient capacity.
+    std::optional<instant> head_answered_since;
     term_number term;
     /// When this VM last won the lease.
     instant won_at;
--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -102,6 +102,19 @@
     return l.seen_at + config::lease_length + claim_delay(s);
 }
 
+/// \return the time at which this VM may claim after the store has answered a read. A VM with
+/// insufficient capacity gives larger ones time to retry what they sent while the store was silent.
+instant claimable_after_answer(const context& c)
+{
+    lease_state& l = c.s.lease;
+    const bool is_own = is_held_by_this_process(c.s) && !l.row->released;
+    if (has_sufficient_capacity(c.s) || is_own) {
+        return c.now;
+    }
+    l.head_answered_since = l.head_answered_since.value_or(c.now);
+    return *l.head_answered_since + config::small_vm_claim_wait;
+}
+
 void begin_claim(const context& c)
 {
     lease_state& l = c.s.lease;
@@ -305,6 +318,7 @@
         l.row = *std::move(row);
         l.version = r.version;
         l.seen_at = c.now;
+        l.head_answered_since.reset();
         if (new_holder) {
             c.log("scheduler_known", {{"holder", l.row->holder},
                                       {"term", absl::StrCat(l.row->term.value)},
@@ -346,10 +360,20 @@
     if (l.current_role != role::reading_head) {
         return;
     }
+    if (!e.ok) {
+        l.head_answered_since.reset();
+    }
     if (!e.ok || c.s.stopping || c.now < claimable_at(c.s)) {
         become_follower(c);
         return;
     }
+    const instant claimable = claimable_after_answer(c);
+    if (c.now < claimable) {
+        become_follower(c);
+        l.retry_at = claimable;
+        return;
+    }
+    l.head_answered_since.reset();
     row_version head_version{0};
     head_row newest;
     for (const table_row& r : e.rows) {
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -419,6 +419,10 @@
 {
     const std::uint64_t incarnation = vms_[vm].incarnation;
     rows_committed done{e.purpose, e.number, store_outcome::unknown, 0};
+    if (faults.store_calls_are_silent) {
+        schedule_event(vm, incarnation, store_timeout, done);
+        return;
+    }
     if (!store_answers(vm)) {
         const bool is_silent = chance(0.5);
         done.outcome = is_silent ? store_outcome::unknown : store_outcome::unavailable;
@@ -456,10 +460,10 @@
 void central_world::execute(std::size_t vm, const rows_read& e)
 {
     const std::uint64_t incarnation = vms_[vm].incarnation;
-    if (!store_answers(vm)) {
+    if (!store_answers(vm) || faults.store_calls_are_silent) {
         rows_read_done failed;
         failed.table_id = e.table_id;
-        schedule_event(vm, incarnation, store_timeout, failed);
+        schedule_event(vm, incarnation, e.timeout, failed);
         return;
     }
     schedule(now_ + store_time,
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -31,6 +31,8 @@
 /// Injected faults of the store and of connections. May be changed at any time.
 struct world_faults {
     bool store_is_down{false};
+    /// Reads and transactions sent now are neither executed nor answered; the feeds go on.
+    bool store_calls_are_silent{false};
     /// Share of transactions that are executed but not answered.
     double lost_commits{0};
     /// Share of transactions that are refused and not executed.
