--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -92,8 +92,9 @@
 {
     const lease_state& l = s.lease;
     // The second case includes a claim of this incarnation whose answer was lost. In both cases no
-    // other VM can hold the lease.
-    if (is_held_by_previous_incarnation(s) || (is_held_by_this_process(s) && !l.row->released)) {
+    // other VM can hold the lease. With insufficient capacity, a new incarnation waits like others.
+    const bool is_restarted = is_held_by_previous_incarnation(s) && has_sufficient_capacity(s);
+    if (is_restarted || (is_held_by_this_process(s) && !l.row->released)) {
         return l.seen_at;
     }
     if (!l.row || l.row->released) {
--- a/tests/test_central_small_vms.cpp
+++ b/tests/test_central_small_vms.cpp
@@ -151,6 +151,31 @@
     }
 }
 
+/// All VMs lose power while a small one holds the lease: its next process waits like all others.
+/// Guards against one that claims at once, as nobody else can hold the lease (issue 58).
+Test(central_small_vms, a_restarted_small_holder_does_not_win_again)
+{
+    for (std::uint64_t seed{1}; seed <= 20; ++seed) {
+        fixture f{seed};
+        f.kill_large_vms();
+        f.w.run_for({12'000});
+        const std::size_t first = f.holder();
+        cr_assert_geq(first, large_vms);
+        cr_assert_lt(first, vms);
+        for (std::size_t vm{large_vms}; vm < vms; ++vm) {
+            f.w.kill(vm);
+        }
+        f.w.run_for({700});
+        for (std::size_t vm{0}; vm < vms; ++vm) {
+            f.w.restart(vm);
+        }
+        const millis held = f.longest_small_hold({8'000});
+        cr_expect_eq(held.count, 0, "%ld ms, seed %lu", held.count, seed);
+        cr_expect_lt(f.holder(), large_vms, "seed %lu", seed);
+        expect_no_violation(f.w);
+    }
+}
+
 /// Without larger VMs, the small ones schedule.
 Test(central_small_vms, a_small_vm_takes_over_when_all_larger_ones_are_gone)
 {
