--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -40,6 +40,9 @@
 inline constexpr millis min_hold_before_handover{2'000};
 /// A VM that forwarded a call within this time is considered alive.
 inline constexpr millis peer_liveness_window{1'500};
+/// While a VM with insufficient capacity holds the lease, one with sufficient capacity writes its
+/// capacity row again after this time, as a sign that it lives and reaches the store.
+inline constexpr millis capacity_announcement_period{1'000};
 /// A new holder that has loaded no page for this long releases the lease.
 inline constexpr millis loading_timeout{6'000};
 inline constexpr millis capacity_write_retry{1'000};
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -564,14 +564,25 @@
     /// or a claim was sent. Kept by VMs with insufficient capacity.
     std::optional<instant> head_answered_since;
     term_number term;
-    /// When this VM last won the lease.
+    /// When this VM last won the lease, and the version of the row that won it.
     instant won_at;
+    row_version won_version{0};
+};
+
+/// The newest row with a VM's capacity.
+struct capacity_write {
+    row_version version{0};
+    /// When it was first seen; not set if it was there when this process started.
+    std::optional<instant> seen_at;
 };
 
 /// Entry VMs that this one knows.
 struct membership_state {
     /// Capacities from the store's rows. VMs that no longer exist remain listed.
     std::map<vm_id, vm_capacity> capacities;
+    std::map<vm_id, capacity_write> capacity_writes;
+    /// Earliest time at which this VM writes its row again, see `capacity_announcement_period`.
+    instant next_announcement_at;
     bool write_in_flight{false};
     instant retry_write_at;
     /// When each VM last forwarded a call to this one.
--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -82,8 +82,7 @@
 /// that larger ones win.
 millis claim_delay(const central_state& s)
 {
-    const millis jitter{static_cast<std::int64_t>(
-        s.self.incarnation % static_cast<std::uint64_t>(config::claim_jitter_ms))};
+    const millis jitter = claim_jitter(s);
     return has_sufficient_capacity(s) ? jitter : config::small_vm_claim_delay + jitter;
 }
 
@@ -195,6 +194,7 @@
     // the first renewal.
     l.retry_at = c.now;
     l.won_at = c.now;
+    l.won_version = e.version;
     c.s.scheduler.commits.head_version = e.version;
     l.current_role = role::loading;
     c.log("lease_won",
@@ -207,13 +207,19 @@
 }
 
 /// \return true when the holder should release the lease because its own capacity is insufficient
-/// and a VM with sufficient capacity is alive. It waits until the recovery of runs is complete.
+/// and a VM with sufficient capacity is alive. One that reaches the store can claim at once; for
+/// one that only forwards calls it waits until the recovery of runs is complete.
 bool should_hand_over(const context& c)
 {
     const lease_state& l = c.s.lease;
-    return l.current_role == role::scheduler && !l.releasing && !c.s.scheduler.recovering &&
-           c.now - l.won_at >= config::min_hold_before_handover && !has_sufficient_capacity(c.s) &&
-           has_larger_live_peer(c);
+    if (l.releasing || has_sufficient_capacity(c.s)) {
+        return false;
+    }
+    if (has_larger_vm_with_store(c)) {
+        return true;
+    }
+    return l.current_role == role::scheduler && !c.s.scheduler.recovering &&
+           c.now - l.won_at >= config::min_hold_before_handover && has_larger_live_peer(c);
 }
 
 void renew_when_due(const context& c)
@@ -301,11 +307,12 @@
 void on_control_changed(const context& c, const control_changed& e)
 {
     lease_state& l = c.s.lease;
+    const bool is_first = !l.was_read;
     l.was_read = l.was_read || e.is_snapshot;
     const row_version known_version = l.version;
     bool shows_renewal{false};
     for (const table_row& r : e.rows) {
-        on_capacity_row(c, r);
+        on_capacity_row(c, r, is_first);
         if (r.key != lease_key.key || r.version <= l.version) {
             continue;
         }
@@ -321,6 +328,7 @@
         l.seen_at = c.now;
         l.head_answered_since.reset();
         if (new_holder) {
+            on_new_holder(c);
             c.log("scheduler_known", {{"holder", l.row->holder},
                                       {"term", absl::StrCat(l.row->term.value)},
                                       {"row_version", absl::StrCat(l.version)}});
