--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -5,6 +5,9 @@
 #include "parts.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -176,6 +179,30 @@
     c.s.lease.retry_at = c.now + config::lease_retry + claim_delay(c.s);
 }
 
+/// Adds how many VMs with sufficient capacity are known to live, and the first of them.
+void add_larger_vms(const context& c, std::vector<log_field>& fields)
+{
+    constexpr std::size_t max_names{3};
+    const std::vector<vm_id> live = larger_live_vms(c);
+    std::string names;
+    for (std::size_t i{0}; i < std::min(live.size(), max_names); ++i) {
+        absl::StrAppend(&names, i > 0 ? "," : "", live[i].value);
+    }
+    fields.push_back({"larger_vms", absl::StrCat(live.size())});
+    fields.push_back({"larger_vm_names", names});
+}
+
+void log_won(const context& c)
+{
+    const lease_state& l = c.s.lease;
+    std::vector<log_field> fields{
+        {"term", absl::StrCat(l.term.value)},
+        {"row_version", absl::StrCat(l.version)},
+        {"sufficient_capacity", has_sufficient_capacity(c.s) ? "true" : "false"}};
+    add_larger_vms(c, fields);
+    c.log("lease_won", std::move(fields));
+}
+
 void on_claim_committed(const context& c, const rows_committed& e)
 {
     lease_state& l = c.s.lease;
@@ -197,8 +224,7 @@
     l.won_version = e.version;
     c.s.scheduler.commits.head_version = e.version;
     l.current_role = role::loading;
-    c.log("lease_won",
-          {{"term", absl::StrCat(l.term.value)}, {"row_version", absl::StrCat(e.version)}});
+    log_won(c);
     if (c.s.stopping) {
         begin_release(c);
         return;
@@ -206,20 +232,51 @@
     begin_loading(c);
 }
 
-/// \return true when the holder should release the lease because its own capacity is insufficient
-/// and a VM with sufficient capacity is alive. One that reaches the store can claim at once; for
-/// one that only forwards calls it waits until the recovery of runs is complete.
-bool should_hand_over(const context& c)
+/// How a VM with sufficient capacity is known to live.
+enum class handover_cause : std::uint8_t { larger_vm_reaches_store, larger_vm_forwards_calls };
+
+const char* name_of(handover_cause cause)
+{
+    switch (cause) {
+    case handover_cause::larger_vm_reaches_store:
+        return "larger_vm_reaches_store";
+    case handover_cause::larger_vm_forwards_calls:
+        return "larger_vm_forwards_calls";
+    }
+    return "unknown";
+}
+
+/// \return why the holder should release the lease: its own capacity is insufficient and a VM with
+/// sufficient capacity is alive. One that reaches the store can claim at once; for one that only
+/// forwards calls it waits until the recovery of runs is complete.
+std::optional<handover_cause> cause_of_handover(const context& c)
 {
     const lease_state& l = c.s.lease;
     if (l.releasing || has_sufficient_capacity(c.s)) {
-        return false;
+        return std::nullopt;
     }
     if (has_larger_vm_with_store(c)) {
-        return true;
+        return handover_cause::larger_vm_reaches_store;
     }
-    return l.current_role == role::scheduler && !c.s.scheduler.recovering &&
-           c.now - l.won_at >= config::min_hold_before_handover && has_larger_live_peer(c);
+    const bool has_settled = l.current_role == role::scheduler && !c.s.scheduler.recovering &&
+                             c.now - l.won_at >= config::min_hold_before_handover;
+    return has_settled && has_larger_live_peer(c)
+               ? std::optional{handover_cause::larger_vm_forwards_calls}
+               : std::nullopt;
+}
+
+void log_handover(const context& c, handover_cause cause)
+{
+    const lease_state& l = c.s.lease;
+    std::vector<log_field> fields{{"term", absl::StrCat(l.term.value)},
+                                  {"cause", name_of(cause)},
+                                  {"held_ms", absl::StrCat((c.now - l.won_at).count)},
+                                  {"role", name_of(l.current_role)},
+                                  {"recovering", c.s.scheduler.recovering ? "true" : "false"},
+                                  // Only one transaction with the lease's row is sent at a time.
+                                  {"waits_for", l.renewal_in_flight ? "renewal" : "release"}};
+    add_larger_vms(c, fields);
+    c.log("lease_handover_begun", std::move(fields));
 }
 
 void renew_when_due(const context& c)
@@ -421,8 +478,8 @@
 {
     lease_state& l = c.s.lease;
     if (l.current_role == role::scheduler || l.current_role == role::loading) {
-        if (should_hand_over(c)) {
-            c.log("lease_handover_begun", {{"term", absl::StrCat(l.term.value)}});
+        if (const auto cause = cause_of_handover(c)) {
+            log_handover(c, *cause);
             l.releasing = true;
             l.retry_at = c.now;
         }
--- a/src/central/members.cpp
+++ b/src/central/members.cpp
@@ -107,6 +107,24 @@
     });
 }
 
+std::vector<vm_id> larger_live_vms(const context& c)
+{
+    const membership_state& m = c.s.members;
+    const instant since = c.now - config::peer_liveness_window;
+    std::vector<vm_id> live;
+    for (const auto& [vm, capacity] : m.capacities) {
+        const auto contact = m.last_contact_at.find(vm);
+        const auto newest = m.capacity_writes.find(vm);
+        const bool has_called = contact != m.last_contact_at.end() && contact->second >= since;
+        const bool has_written = newest != m.capacity_writes.end() &&
+                                 newest->second.seen_at.value_or(instant{-1}) >= since;
+        if ((has_called || has_written) && is_larger_vm(c.s, vm)) {
+            live.push_back(vm);
+        }
+    }
+    return live;
+}
+
 void on_new_holder(const context& c)
 {
     c.s.members.next_announcement_at = c.now + claim_jitter(c.s);
--- a/src/central/members.h
+++ b/src/central/members.h
@@ -15,6 +15,9 @@
 /// \return true when a VM with sufficient capacity has written its row since this VM won the lease,
 /// so that it lives and reaches the store.
 bool has_larger_vm_with_store(const context& c);
+/// \return the other VMs with sufficient capacity that have forwarded a call or written their row
+/// within `peer_liveness_window`.
+std::vector<vm_id> larger_live_vms(const context& c);
 /// \return the time by which this VM delays what several VMs do on the same occasion.
 millis claim_jitter(const central_state& s);
 /// Records that a VM has forwarded a call.
--- a/tests/test_central_small_vms.cpp
+++ b/tests/test_central_small_vms.cpp
@@ -396,3 +396,40 @@
         play_history(seed);
     }
 }
+
+namespace {
+
+/// \return the last line with the event that the world's VMs logged; empty if there is none.
+std::string last_line(const std::vector<std::string>& lines, const std::string& event)
+{
+    const auto found = std::find_if(lines.rbegin(), lines.rend(), [&](const std::string& line) {
+        return line.find(event + " ") != std::string::npos;
+    });
+    return found == lines.rend() ? std::string{} : *found;
+}
+
+void expect_in(const std::string& line, const std::string& part)
+{
+    cr_expect(line.find(part) != std::string::npos, "no %s in: %s", part.c_str(), line.c_str());
+}
+
+} // namespace
+
+Test(central_small_vms, logs_tell_who_holds_the_lease_and_why_it_is_handed_over)
+{
+    fixture f{1};
+    std::vector<std::string> lines;
+    f.w.log_to = [&lines](const std::string& line) { lines.push_back(line); };
+    f.w.faults.unreachable_runners.insert(0);
+    f.let_small_vm_win();
+    const std::string won = last_line(lines, "lease_won");
+    expect_in(won, "sufficient_capacity=false larger_vms=0 larger_vm_names=");
+    f.w.run_for({2'000});
+    f.w.restart(1);
+    f.time_until_large_holder({5'000});
+    const std::string begun = last_line(lines, "lease_handover_begun");
+    expect_in(begun, "cause=larger_vm_reaches_store");
+    expect_in(begun, "role=scheduler recovering=true waits_for=");
+    expect_in(begun, "larger_vms=1 larger_vm_names=vm1");
+    expect_in(last_line(lines, "lease_won"), "sufficient_capacity=true");
+}
