--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -31,12 +31,18 @@
 inline constexpr std::int64_t claim_jitter_ms{200};
 /// Additional delay of claims by VMs with insufficient capacity.
 inline constexpr millis small_vm_claim_delay{600};
+/// A VM with insufficient capacity claims only after the store has answered it for this long. In
+/// this time a larger one whose transaction the store did not answer gives it up, retries and wins.
+inline constexpr millis small_vm_claim_wait{2'400};
 /// Minimum share of the largest VM's capacity, in percent, that counts as sufficient.
 inline constexpr std::int64_t sufficient_capacity_percent{60};
 /// A holder with insufficient capacity keeps the lease at least this long before it hands it over.
 inline constexpr millis min_hold_before_handover{2'000};
 /// A VM that forwarded a call within this time is considered alive.
 inline constexpr millis peer_liveness_window{1'500};
+/// While a VM with insufficient capacity holds the lease, one with sufficient capacity writes its
+/// capacity row again after this time, as a sign that it lives and reaches the store.
+inline constexpr millis capacity_announcement_period{1'000};
 /// A new holder that has loaded no page for this long releases the lease.
 inline constexpr millis loading_timeout{6'000};
 inline constexpr millis capacity_write_retry{1'000};
--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -5,6 +5,9 @@
 #include "parts.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -82,8 +85,7 @@
 /// that larger ones win.
 millis claim_delay(const central_state& s)
 {
-    const millis jitter{static_cast<std::int64_t>(
-        s.self.incarnation % static_cast<std::uint64_t>(config::claim_jitter_ms))};
+    const millis jitter = claim_jitter(s);
     return has_sufficient_capacity(s) ? jitter : config::small_vm_claim_delay + jitter;
 }
 
@@ -92,8 +94,9 @@
 {
     const lease_state& l = s.lease;
     // The second case includes a claim of this incarnation whose answer was lost. In both cases no
-    // other VM can hold the lease.
-    if (is_held_by_previous_incarnation(s) || (is_held_by_this_process(s) && !l.row->released)) {
+    // other VM can hold the lease. With insufficient capacity, a new incarnation waits like others.
+    const bool is_restarted = is_held_by_previous_incarnation(s) && has_sufficient_capacity(s);
+    if (is_restarted || (is_held_by_this_process(s) && !l.row->released)) {
         return l.seen_at;
     }
     if (!l.row || l.row->released) {
@@ -102,6 +105,19 @@
     return l.seen_at + config::lease_length + claim_delay(s);
 }
 
+/// \return the time at which this VM may claim after the store has answered a read. A VM with
+/// insufficient capacity gives larger ones time to retry what they sent while the store was silent.
+instant claimable_after_answer(const context& c)
+{
+    lease_state& l = c.s.lease;
+    const bool is_own = is_held_by_this_process(c.s) && !l.row->released;
+    if (has_sufficient_capacity(c.s) || is_own) {
+        return c.now;
+    }
+    l.head_answered_since = l.head_answered_since.value_or(c.now);
+    return *l.head_answered_since + config::small_vm_claim_wait;
+}
+
 void begin_claim(const context& c)
 {
     lease_state& l = c.s.lease;
@@ -163,6 +179,30 @@
     c.s.lease.retry_at = c.now + config::lease_retry + claim_delay(c.s);
 }
 
+/// Adds how many VMs with sufficient capacity are known to live, and the first of them.
+void add_larger_vms(const context& c, std::vector<log_field>& fields)
+{
+    constexpr std::size_t max_names{3};
+    const std::vector<vm_id> live = larger_live_vms(c);
+    std::string names;
+    for (std::size_t i{0}; i < std::min(live.size(), max_names); ++i) {
+        absl::StrAppend(&names, i > 0 ? "," : "", live[i].value);
+    }
+    fields.push_back({"larger_vms", absl::StrCat(live.size())});
+    fields.push_back({"larger_vm_names", names});
+}
+
+void log_won(const context& c)
+{
+    const lease_state& l = c.s.lease;
+    std::vector<log_field> fields{
+        {"term", absl::StrCat(l.term.value)},
+        {"row_version", absl::StrCat(l.version)},
+        {"sufficient_capacity", has_sufficient_capacity(c.s) ? "true" : "false"}};
+    add_larger_vms(c, fields);
+    c.log("lease_won", std::move(fields));
+}
+
 void on_claim_committed(const context& c, const rows_committed& e)
 {
     lease_state& l = c.s.lease;
@@ -181,10 +221,10 @@
     // the first renewal.
     l.retry_at = c.now;
     l.won_at = c.now;
+    l.won_version = e.version;
     c.s.scheduler.commits.head_version = e.version;
     l.current_role = role::loading;
-    c.log("lease_won",
-          {{"term", absl::StrCat(l.term.value)}, {"row_version", absl::StrCat(e.version)}});
+    log_won(c);
     if (c.s.stopping) {
         begin_release(c);
         return;
@@ -192,14 +232,51 @@
     begin_loading(c);
 }
 
-/// \return true when the holder should release the lease because its own capacity is insufficient
-/// and a VM with sufficient capacity is alive. It waits until the recovery of runs is complete.
-bool should_hand_over(const context& c)
+/// How a VM with sufficient capacity is known to live.
+enum class handover_cause : std::uint8_t { larger_vm_reaches_store, larger_vm_forwards_calls };
+
+const char* name_of(handover_cause cause)
+{
+    switch (cause) {
+    case handover_cause::larger_vm_reaches_store:
+        return "larger_vm_reaches_store";
+    case handover_cause::larger_vm_forwards_calls:
+        return "larger_vm_forwards_calls";
+    }
+    return "unknown";
+}
+
+/// \return why the holder should release the lease: its own capacity is insufficient and a VM with
+/// sufficient capacity is alive. One that reaches the store can claim at once; for one that only
+/// forwards calls it waits until the recovery of runs is complete.
+std::optional<handover_cause> cause_of_handover(const context& c)
 {
     const lease_state& l = c.s.lease;
-    return l.current_role == role::scheduler && !l.releasing && !c.s.scheduler.recovering &&
-           c.now - l.won_at >= config::min_hold_before_handover && !has_sufficient_capacity(c.s) &&
-           has_larger_live_peer(c);
+    if (l.releasing || has_sufficient_capacity(c.s)) {
+        return std::nullopt;
+    }
+    if (has_larger_vm_with_store(c)) {
+        return handover_cause::larger_vm_reaches_store;
+    }
+    const bool has_settled = l.current_role == role::scheduler && !c.s.scheduler.recovering &&
+                             c.now - l.won_at >= config::min_hold_before_handover;
+    return has_settled && has_larger_live_peer(c)
+               ? std::optional{handover_cause::larger_vm_forwards_calls}
+               : std::nullopt;
+}
+
+void log_handover(const context& c, handover_cause cause)
+{
+    const lease_state& l = c.s.lease;
+    std::vector<log_field> fields{{"term", absl::StrCat(l.term.value)},
+                                  {"cause", name_of(cause)},
+                                  {"held_ms", absl::StrCat((c.now - l.won_at).count)},
+                                  {"role", name_of(l.current_role)},
+                                  {"recovering", c.s.scheduler.recovering ? "true" : "false"},
+                                  // Only one transaction with the lease's row is sent at a time.
+                                  {"waits_for", l.renewal_in_flight ? "renewal" : "release"}};
+    add_larger_vms(c, fields);
+    c.log("lease_handover_begun", std::move(fields));
 }
 
 void renew_when_due(const context& c)
@@ -287,11 +364,12 @@
 void on_control_changed(const context& c, const control_changed& e)
 {
     lease_state& l = c.s.lease;
+    const bool is_first = !l.was_read;
     l.was_read = l.was_read || e.is_snapshot;
     const row_version known_version = l.version;
     bool shows_renewal{false};
     for (const table_row& r : e.rows) {
-        on_capacity_row(c, r);
+        on_capacity_row(c, r, is_first);
         if (r.key != lease_key.key || r.version <= l.version) {
             continue;
         }
@@ -305,7 +383,9 @@
         l.row = *std::move(row);
         l.version = r.version;
         l.seen_at = c.now;
+        l.head_answered_since.reset();
         if (new_holder) {
+            on_new_holder(c);
             c.log("scheduler_known", {{"holder", l.row->holder},
                                       {"term", absl::StrCat(l.row->term.value)},
                                       {"row_version", absl::StrCat(l.version)}});
@@ -346,10 +426,20 @@
     if (l.current_role != role::reading_head) {
         return;
     }
+    if (!e.ok) {
+        l.head_answered_since.reset();
+    }
     if (!e.ok || c.s.stopping || c.now < claimable_at(c.s)) {
         become_follower(c);
         return;
     }
+    const instant claimable = claimable_after_answer(c);
+    if (c.now < claimable) {
+        become_follower(c);
+        l.retry_at = claimable;
+        return;
+    }
+    l.head_answered_since.reset();
     row_version head_version{0};
     head_row newest;
     for (const table_row& r : e.rows) {
@@ -388,8 +478,8 @@
 {
     lease_state& l = c.s.lease;
     if (l.current_role == role::scheduler || l.current_role == role::loading) {
-        if (should_hand_over(c)) {
-            c.log("lease_handover_begun", {{"term", absl::StrCat(l.term.value)}});
+        if (const auto cause = cause_of_handover(c)) {
+            log_handover(c, *cause);
             l.releasing = true;
             l.retry_at = c.now;
         }
