--- a/tests/soak/play.cpp
+++ b/tests/soak/play.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "clients.h"
+#include "restart_runner.h"
 
 namespace soak {
 
@@ -306,6 +307,9 @@
             });
         });
     }
+    else if (a.what == act::restart_runner) {
+        at_runners(a, [&a](review::runner& each) { restart_runner(each, a.amount); });
+    }
     else if (a.what == act::silence_runners) {
         at_runners(a, [](review::runner& each) { each.silence_open_connections(); });
     }
--- a/tests/soak/scenario.cpp
+++ b/tests/soak/scenario.cpp
@@ -17,6 +17,8 @@
 /// Other actions begin in this span.
 constexpr std::int64_t others_from_ms{6'000};
 constexpr std::int64_t others_span_ms{30'000};
+/// Unnoticed restarts of runners begin in this span.
+constexpr std::int64_t restarts_span_ms{24'000};
 
 class drawer {
 public:
@@ -32,6 +34,7 @@
         draw_runner_faults();
         draw_loss_loops();
         drawn_.restart_after_ms = from(300, 2'000);
+        draw_unnoticed_restarts();
         return drawn_;
     }
 
@@ -158,6 +161,33 @@
         }
     }
 
+    /// Waves that may overlap: the scheduling VM is paused, so that reports wait unread, and
+    /// runners restart meanwhile. Some of them are cut off soon after.
+    void draw_unnoticed_restarts()
+    {
+        for (std::int64_t waves = from(0, 4); waves > 0; --waves) {
+            const std::int64_t begin = from(others_from_ms, restarts_span_ms);
+            const std::int64_t pause = from(1'000, 3'000);
+            add({act::pause_vm, begin, pause, {scheduler}, {}, 0});
+            for (std::int64_t left = from(8, 24); left > 0; --left) {
+                draw_restarts_of(any_of(size_.runners), begin, begin + pause);
+            }
+        }
+    }
+
+    /// One or two restarts of the runner while reports wait.
+    void draw_restarts_of(std::size_t runner, std::int64_t from_ms, std::int64_t to_ms)
+    {
+        for (std::int64_t left = from(1, 2); left > 0; --left) {
+            const std::int64_t at = from(from_ms, to_ms - from_ms);
+            add({act::restart_runner, at, 0, {}, {runner}, amount(0, 3'000)});
+        }
+        if (one_in(2)) {
+            const std::int64_t length = one_in(3) ? from(300, 1'500) : from(7'500, 2'500);
+            add({act::cut_off, to_ms + from(0, 800), length, {}, {runner}, 0});
+        }
+    }
+
     unsigned amount(std::int64_t least, std::int64_t span)
     {
         return static_cast<unsigned>(from(least, span));
@@ -204,6 +234,8 @@
         return "cut_off";
     case act::crash_runner:
         return "crash_runner";
+    case act::restart_runner:
+        return "restart_runner";
     case act::silence_runners:
         return "silence_runners";
     case act::late_orders:
--- a/tests/soak/scenario.h
+++ b/tests/soak/scenario.h
@@ -37,6 +37,9 @@
     cut_off,
     /// Runners lose all they run and boot at the action's end.
     crash_runner,
+    /// Runners crash and boot at once under their ids; `amount` is in ms from there to their first
+    /// heartbeats.
+    restart_runner,
     /// The open channels to runners go silent.
     silence_runners,
     /// `amount` percent of the orders are carried out late and not answered.
