--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -148,9 +148,9 @@
     /// Of a service task: its run there has survived its start, see crashes.cpp.
     bool has_survived_there{false};
     std::string checkpoint;
-    /// No unreported run of an earlier term can remain: a runner reported it running when the holder
-    /// before had certainly given its last order, it was started in this term, or it could not have
-    /// been started before.
+    /// No unreported run of an earlier term can remain: a runner reported it running when the
+    /// holder before had certainly given its last order, it was started in this term, or it could
+    /// not have been started before.
     bool is_reconciled{false};
     /// Of a service task that ran before and has no run: since when, as far as this holder of the
     /// lease knows; not stored.
