Orders: a refusal that was meant for a former incarnation ends no runs

Read once more: an order that was given before a restart was noticed may be answered by another runner at the address that the id had before. That says nothing about the incarnation that is known since.

--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -83,9 +83,13 @@
     }
 }
 
-/// Handles an order that another incarnation has answered: all runs of its own are gone.
-void on_runner_replaced(const context& c, runner_record& r)
+/// Handles an order that another incarnation has answered: all runs of the one that it was meant
+/// for are gone.
+void on_runner_replaced(const context& c, const runner_order_ended& e, runner_record& r)
 {
+    if (!is_for_current_incarnation(e, r)) {
+        return;
+    }
     if (r.is_responsive) {
         record_runner_loss(c, r);
     }
@@ -100,7 +104,7 @@
     if (e.result == order_result::other_incarnation) {
         release_run(c, e.task, ref);
         if (r != nullptr) {
-            on_runner_replaced(c, *r);
+            on_runner_replaced(c, e, *r);
         }
         return;
     }
@@ -154,7 +158,7 @@
         confirm_stop(c, *r, e, *stop);
     }
     else if (e.result == order_result::other_incarnation) {
-        on_runner_replaced(c, *r);
+        on_runner_replaced(c, e, *r);
     }
     else if (stop->confirmed_at_hold == 0) {
         log_stop(c, "stop_unconfirmed", {stop->retry_at, e.runner, e.task, e.run}, *stop,
