Simulated runners: an order is lost with the connection it was sent over; docs

An order whose runner restarts on its way reached the new incarnation over a connection to the former one.

--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -845,13 +845,17 @@
     const bool is_lost = is_late || chance(faults.lost_orders);
     constexpr std::int64_t longest_delay_ms{9'000};
     const millis late{2'000 + static_cast<std::int64_t>(random_() % longest_delay_ms)};
-    // A delayed order is dropped if the runner restarts meanwhile.
+    // Its connection ends with the incarnation that it was opened to.
     const runner_incarnation receiver = runners_[index_of(e.runner)].incarnation();
     schedule(now_ + (is_late ? late : network_time),
-             [this, vm, e, connected_at = *connected_at, is_lost, is_late, receiver, incarnation] {
-                 if (!is_late || runners_[index_of(e.runner)].incarnation() == receiver) {
+             [this, vm, e, connected_at = *connected_at, is_lost, receiver, incarnation] {
+                 if (runners_[index_of(e.runner)].incarnation() == receiver) {
                      deliver_order(vm, e, connected_at, !is_lost, incarnation);
                  }
+                 else if (!is_lost) {
+                     schedule_event(vm, incarnation, network_time,
+                                    ended_without_answer(e, order_result::unknown, connected_at));
+                 }
              });
     if (is_lost) {
         schedule_event(vm, incarnation, order_timeout,
