Services start again however their runs end, with a back-off

Cause: an end reported as done finished the task, whatever its owner had asked for; only failures of services were told apart.

Change: the end of a service task makes it ready again, from the beginning, and its job is never completed; tasks of services that a process of an earlier version stored as done become ready when the jobs are loaded. Runs that end by themselves within 4 s of their start, again and again, delay the next start: 250 ms from start to start, doubling up to 4 s; the first restart is immediate.

Ruled out: a lack of room or a task that is held back, since the job was shown as completed.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -159,6 +159,13 @@
 inline constexpr std::uint32_t crashes_held_back_briefly{3};
 inline constexpr std::uint32_t service_crashes_held_back_briefly{4};
 
+// Services whose runs end by themselves.
+/// A run that ended sooner than this after its start was short. After one short run a service
+/// starts again at once; with each further one in a row the time between two starts doubles, from
+/// the first of these up to the second. Users consider a service task lost after 6 s without a run.
+inline constexpr millis min_restart_interval{250};
+inline constexpr millis max_restart_interval{4'000};
+
 // Placement.
 /// Minimum time between placement rounds if no step became ready in between.
 inline constexpr millis placement_interval{10};
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -131,6 +131,14 @@
     [[nodiscard]] bool has_counted() const { return is_suspect || possible > 0; }
 };
 
+/// Bounds the rate at which a service task starts whose runs end by themselves; see restarts.cpp.
+struct restart_backoff {
+    /// Short runs in a row, see `config::max_restart_interval`.
+    std::uint32_t short_runs{0};
+    /// The task does not start before.
+    instant until;
+};
+
 struct task_record {
     task_status status{task_status::blocked};
     /// Failures of the task itself; each counts as an attempt.
@@ -140,6 +148,8 @@
     /// Runner of its last failed run.
     runner_id failed_on;
     crash_counts crashes;
+    /// Of a service task; not stored.
+    restart_backoff restarts;
     /// Highest run number assigned or reported.
     run_number last_run;
     /// Of a service task: the only runner on which it can run; empty: none. It is in the store
--- a/src/central/loading.cpp
+++ b/src/central/loading.cpp
@@ -94,15 +94,17 @@
 }
 
 /// Recomputes the counters of unfinished tasks, steps and dependencies from the status of the
-/// tasks. Every task that is not done becomes blocked.
+/// tasks. Every task that is not done becomes blocked, and so do those of services: a process of an
+/// earlier version may have stored them as done.
 void count_unfinished(occurrence_record& o, const graph_job& spec)
 {
     o.unfinished_steps = 0;
-    for (step_record& step : o.steps) {
+    for (std::size_t i{0}; i < o.steps.size(); ++i) {
+        step_record& step = o.steps[i];
         step.unfinished = 0;
         step.ready = 0;
         for (task_record& task : step.tasks) {
-            if (task.status != task_status::done) {
+            if (task.status != task_status::done || spec.steps[i].is_service) {
                 task.status = task_status::blocked;
                 ++step.unfinished;
             }
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -201,6 +201,13 @@
 /// Clears the suspicion against the task once its current run has survived its start.
 void clear_suspicion_if_survived(const context& c, const runner_record& r, task_ref ref);
 
+// ---- restarts.cpp: services whose runs end by themselves
+/// Records that the current run of a service task is reported as done or failed; it is started
+/// again all the same.
+void record_service_exit(const context& c, const graph_task_id& id, const task_ref& ref);
+/// \return true if the task must not start yet, as its last runs were short.
+bool awaits_restart(const context& c, const task_ref& ref);
+
 // ---- run_reports.cpp: processing of runner reports
 void process_reported_end(const context& c, runner_record& r, const reported_end& e);
 void process_reported_runs(const context& c, runner_record& r, const runner_hold_ended& report);
--- a/src/central/placement.cpp
+++ b/src/central/placement.cpp
@@ -181,7 +181,8 @@
     const context& c = round.c;
     const task_ref ref = find_task(c.s, id);
     const bool is_startable = ref.task->status == task_status::ready && !ref.task->current_run;
-    if (!is_startable || may_have_unreported_run(c, ref) || is_held_back(c, id, ref)) {
+    if (!is_startable || may_have_unreported_run(c, ref) || awaits_restart(c, ref) ||
+        is_held_back(c, id, ref)) {
         return true;
     }
     runner_record* const r = select_for_task(round, id, ref, requirement);
@@ -240,7 +241,7 @@
         const task_ref member = find_task(c.s, member_id);
         const bool is_startable =
             member.task->status == task_status::ready && !member.task->current_run;
-        if (!is_startable || may_have_unreported_run(c, member)) {
+        if (!is_startable || may_have_unreported_run(c, member) || awaits_restart(c, member)) {
             return false;
         }
     }
--- a/src/central/reservations.cpp
+++ b/src/central/reservations.cpp
@@ -211,6 +211,9 @@
     if (may_have_unreported_run(c, ref)) {
         return "unreported_run";
     }
+    if (awaits_restart(c, ref)) {
+        return "short_runs";
+    }
     return is_held_back(c, id, ref) ? "crashes" : "none";
 }
 
@@ -307,7 +310,8 @@
     std::vector<service_turn> turns;
     for (const auto& [id, waiting] : c.s.scheduler.waiting_services) {
         const task_ref ref = find_task(c.s, id);
-        if (ref && !may_have_unreported_run(c, ref) && !is_held_back(c, id, ref)) {
+        if (ref && !may_have_unreported_run(c, ref) && !awaits_restart(c, ref) &&
+            !is_held_back(c, id, ref)) {
             const ready_key step = ready_key_of(*ref.job, id);
             turns.push_back({step.priority, *ref.task->without_run_since, step, id});
         }
--- a/src/central/run_reports.cpp
+++ b/src/central/run_reports.cpp
@@ -75,17 +75,32 @@
     fail_task(c, e.task, ref);
 }
 
+/// A service task is never done: it starts again from the beginning.
+void apply_service_done(const context& c, const reported_end& e, task_ref ref)
+{
+    mark_job_started(c, *ref.job);
+    if (ref.task->last_run == e.run) {
+        ref.task->checkpoint.clear();
+        mark_changed(c, *ref.job);
+    }
+}
+
+void apply_done(const context& c, const reported_end& e, task_ref ref)
+{
+    if (ref.task->status != task_status::done) {
+        finish_tasks(c, e.task, ref);
+    }
+    if (ref.task->current_run) {
+        stop_run(c, e.task, *ref.task->current_run);
+    }
+}
+
 /// Updates the task of an ended run, after the run was detached from its runner.
 void apply_end(const context& c, const reported_end& e, task_ref ref, runner_record& r)
 {
     if (e.cause == end_cause::done) {
         r.failures_in_a_row = 0;
-        if (ref.task->status != task_status::done) {
-            finish_tasks(c, e.task, ref);
-        }
-        if (ref.task->current_run) {
-            stop_run(c, e.task, *ref.task->current_run);
-        }
+        ref.step->is_service ? apply_service_done(c, e, ref) : apply_done(c, e, ref);
         return;
     }
     if (e.cause == end_cause::failed) {
@@ -206,6 +221,10 @@
     }
     if (is_current_run(ref, r.entry.id, e.run)) {
         log_run(c, "run_ended", e.task, *ref.task->current_run, name_of(e.cause));
+        const bool is_exit = e.cause == end_cause::done || e.cause == end_cause::failed;
+        if (ref.step->is_service && is_exit) {
+            record_service_exit(c, e.task, ref);
+        }
         detach_run(c, ref, &r, e.task);
     }
     else if (!ref.task->current_run && ref.task->placed_on == r.entry.id) {
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -158,6 +158,11 @@
     [[nodiscard]] std::size_t runners() const { return runners_.size(); }
     /// Jobs whose tasks always fail.
     std::set<std::string> failing_jobs;
+    /// Jobs whose service tasks end by themselves after their run time, as done or, if they are
+    /// among `failing_jobs`, as failed.
+    std::set<std::string> exiting_jobs;
+    /// Writes a row of the store, as a process of an earlier version may have left it.
+    void put_row(const table_key& row, const std::string& value);
     /// Tasks that crash each runner that starts them; the runner is back after `crash_downtime`.
     std::set<graph_task_id> crashing_tasks;
     static constexpr millis crash_downtime{4'000};
@@ -301,6 +306,8 @@
     /// \return the runner on which the task can run according to the store; empty: none.
     [[nodiscard]] runner_id stored_place_of(const graph_task_id& id) const;
     [[nodiscard]] bool is_stored_as_done(const graph_task_id& id) const;
+    /// \return true if the task is restarted however its runs end.
+    [[nodiscard]] bool is_service_task(const graph_task_id& id) const;
     void record_violation(const std::string& text);
 
     world_options options_;
--- a/tests/central/fake_runner.h
+++ b/tests/central/fake_runner.h
@@ -16,9 +16,11 @@
 
 /// How a task behaves once a runner starts it.
 struct task_behaviour {
-    /// Time from start to end; ignored for services, which run until stopped.
+    /// Time from start to end; ignored for services that do not exit.
     millis run_time;
     bool is_service{false};
+    /// A service whose process ends by itself.
+    bool exits{false};
     /// It ends with a failure.
     bool fails{false};
     resources size;
