Commits: a scheduler with nothing to store notices that the store is back

Cause: new jobs are refused while commits fail, and only a commit that succeeds ends that. The refused job is dropped, so an otherwise idle scheduler had nothing left to commit.

Change: while commits fail, one without changes is sent at the usual retry interval.

Evidence: jobs_are_accepted_again_after_the_store_refused_the_only_one fails on the code before, passes now; the rest of test_central_jobs passes in both.

--- a/src/central/commits.cpp
+++ b/src/central/commits.cpp
@@ -414,8 +414,11 @@
         }
         return;
     }
-    const bool is_idle = commits.changed_jobs.empty() && commits.jobs_to_remove.empty() &&
-                         commits.runners_to_add.empty() && commits.runners_to_remove.empty();
+    // While commits fail, one without changes shows when the store is back: new jobs are refused
+    // until then.
+    const bool is_idle = !commits.failing_since && commits.changed_jobs.empty() &&
+                         commits.jobs_to_remove.empty() && commits.runners_to_add.empty() &&
+                         commits.runners_to_remove.empty();
     if (is_idle) {
         return;
     }
--- a/tests/test_central_jobs.cpp
+++ b/tests/test_central_jobs.cpp
@@ -190,6 +190,24 @@
     expect_no_violation(w);
 }
 
+/// Guards against a scheduler that refuses all jobs for good: it had dropped the only job that it
+/// could not store, so it had nothing to store that would have shown that the store is back.
+Test(central_jobs, jobs_are_accepted_again_after_the_store_refused_the_only_one)
+{
+    central_world w{{}};
+    w.run_for(warm_up);
+    w.faults.refused_commits = 1;
+    w.submit(0, central_world::make_job(id_of(1), 1, 1, {100}));
+    w.run_for({1'500});
+    cr_assert_not(w.caller(id_of(1)).was_accepted);
+    w.faults.refused_commits = 0;
+    w.run_for({1'000});
+    w.submit(0, central_world::make_job(id_of(2), 1, 1, {100}));
+    w.run_for({1'000});
+    cr_expect(w.caller(id_of(2)).was_accepted);
+    expect_no_violation(w);
+}
+
 /// Guards against a successor that starts without the disturbance model (seen on kdl-accra,
 /// scale-1): after all processes were killed, twice as many tasks were throttled beside services,
 /// because the model had to be learned again.
