Cancellations of unknown jobs are stored before they are acknowledged

Cause: the scheduler kept nothing of a cancellation of a job that it did not know, so the submission was taken for a new job, by itself and by every later holder of the lease. That the client had left is not the cause: the fault shows too if it stays.

Change: such a cancellation makes a record that is stored and kept like that of an ended job, and is acknowledged, with 410 as before, once it is stored. A submission that arrives for it is accepted and shown as cancelled; until then callers do not see the job. A cancelled job that the store refuses is not dropped with its cancellation any more, which was the same fault by another way.

One check changed: every_processed_cancellation_has_a_line expected that the answer to an unknown job's cancellation does not wait for the store; that it does is the point of this change, and the line must say so now.

--- a/include/cuminmoor/central/graph_job.h
+++ b/include/cuminmoor/central/graph_job.h
@@ -81,6 +81,20 @@
     auto operator<=>(const graph_task_id&) const = default;
 };
 
-enum class job_state : std::uint8_t { queued, running, completed, failed, cancelled };
+enum class job_state : std::uint8_t {
+    queued,
+    running,
+    completed,
+    failed,
+    cancelled,
+    /// Cancelled before its submission arrived, if it ever does. Callers do not see it.
+    withdrawn,
+};
+
+/// \return true if nothing of the job runs any more.
+constexpr bool is_final(job_state state)
+{
+    return state != job_state::queued && state != job_state::running;
+}
 
 } // namespace cuminmoor::central
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -245,11 +245,7 @@
     std::vector<call_handle> submitters;
     std::vector<call_handle> cancellers;
 
-    [[nodiscard]] bool has_ended() const
-    {
-        return state == job_state::completed || state == job_state::failed ||
-               state == job_state::cancelled;
-    }
+    [[nodiscard]] bool has_ended() const { return is_final(state); }
 };
 
 struct id_hash {
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -329,7 +329,7 @@
 
 bool is_job_state(job_state state)
 {
-    return state <= job_state::cancelled;
+    return state <= job_state::withdrawn;
 }
 
 /// Adds the crash counts and the places of service runs to the row.
--- a/src/central/commits.cpp
+++ b/src/central/commits.cpp
@@ -210,16 +210,17 @@
 void on_job_stored(const context& c, job_record& job, job_state stored_state)
 {
     const bool is_new = job.stored == stored_part::nothing;
-    const bool was_over = stored_state == job_state::completed ||
-                          stored_state == job_state::failed || stored_state == job_state::cancelled;
+    const bool was_over = is_final(stored_state);
     job.stored = is_new && !was_over ? stored_part::job : stored_part::job_and_progress;
-    for (const call_handle handle : std::exchange(job.submitters, {})) {
-        answer(c, handle, {.result = call_result::accepted});
+    if (stored_state != job_state::withdrawn) {
+        for (const call_handle handle : std::exchange(job.submitters, {})) {
+            answer(c, handle, {.result = call_result::accepted});
+        }
     }
     if (was_over) {
         job.published_state = stored_state;
         for (const call_handle handle : std::exchange(job.cancellers, {})) {
-            answer(c, handle, {.result = call_result::cancelled});
+            answer_canceller(c, handle, job);
         }
     }
     if (is_new && !job.has_ended()) {
@@ -262,30 +263,31 @@
     send_commit(c);
 }
 
-/// Answers the callers of a new job that is certainly not stored and will be dropped.
-void refuse_unstored_job(const context& c, const job_record& job)
+/// Refuses the submissions of a new job that is certainly not stored.
+/// \return true if the job is to be dropped. One that was cancelled is not: the cancellation waits
+/// for the store.
+bool refuse_unstored_job(const context& c, job_record& job)
 {
-    for (const call_handle handle : job.submitters) {
+    for (const call_handle handle : std::exchange(job.submitters, {})) {
         answer(c, handle, {.result = call_result::unavailable, .retry_after = config::retry_after});
     }
-    for (const call_handle handle : job.cancellers) {
-        answer(c, handle, {.result = call_result::unknown_job});
-    }
-    if (job.state == job_state::queued) {
-        --c.s.scheduler.pending[job.spec.queue];
+    if (job.has_ended()) {
+        job.state = job_state::withdrawn;
+        return false;
     }
+    --c.s.scheduler.pending[job.spec.queue];
+    return true;
 }
 
-/// Refuses and drops new jobs that are certainly not stored.
+/// Refuses new jobs that are certainly not stored.
 void reject_unstored_jobs(const context& c)
 {
-    std::erase_if(c.s.scheduler.jobs, [&c](const auto& each) {
-        const bool is_unstored = each.second.stored == stored_part::nothing;
-        if (is_unstored) {
-            refuse_unstored_job(c, each.second);
-        }
-        return is_unstored;
-    });
+    auto& jobs = c.s.scheduler.jobs;
+    for (auto it = jobs.begin(); it != jobs.end();) {
+        const bool is_unstored = it->second.stored == stored_part::nothing;
+        const bool is_dropped = is_unstored && refuse_unstored_job(c, it->second);
+        it = is_dropped ? jobs.erase(it) : std::next(it);
+    }
 }
 
 /// Puts the changes of a commit that certainly did not take effect back at the front of the queue.
@@ -349,8 +351,8 @@
     if (found == s.jobs.end()) {
         return;
     }
-    if (found->second.stored == stored_part::nothing && !may_still_apply) {
-        refuse_unstored_job(c, found->second);
+    const bool is_unstored = found->second.stored == stored_part::nothing && !may_still_apply;
+    if (is_unstored && refuse_unstored_job(c, found->second)) {
         s.jobs.erase(found);
         return;
     }
--- a/src/central/jobs.cpp
+++ b/src/central/jobs.cpp
@@ -87,16 +87,32 @@
     }
 }
 
+/// Takes a submission that arrives after the job's cancellation: the job is shown as cancelled.
+void accept_withdrawn(const context& c, call_handle handle, job_record& job)
+{
+    c.log("submitted_after_cancellation", {{"job", job.spec.id.value}});
+    job.state = job_state::cancelled;
+    job.submitters.push_back(handle);
+    mark_changed(c, job);
+}
+
+/// \return true if the store has the job as submitted.
+bool is_submission_stored(const job_record& job)
+{
+    return job.stored != stored_part::nothing && job.published_state != job_state::withdrawn;
+}
+
 void submit(const context& c, call_handle handle, const job_call& call)
 {
     scheduler_state& s = c.s.scheduler;
     const auto known = s.jobs.find(call.job);
-    if (known != s.jobs.end()) {
-        if (known->second.stored == stored_part::nothing) {
-            known->second.submitters.push_back(handle);
+    const bool is_withdrawn = known != s.jobs.end() && known->second.state == job_state::withdrawn;
+    if (known != s.jobs.end() && !is_withdrawn) {
+        if (is_submission_stored(known->second)) {
+            answer(c, handle, {.result = call_result::accepted});
         }
         else {
-            answer(c, handle, {.result = call_result::accepted});
+            known->second.submitters.push_back(handle);
         }
         return;
     }
@@ -106,6 +122,10 @@
         answer(c, handle, {.result = call_result::unavailable, .retry_after = config::retry_after});
         return;
     }
+    if (is_withdrawn) {
+        accept_withdrawn(c, handle, known->second);
+        return;
+    }
     job_record job = make_job(*call.submitted, *q, c.now);
     if (job.max_open_occurrences == 0) {
         answer(c, handle, {.result = call_result::malformed});
@@ -121,7 +141,7 @@
 {
     const auto& jobs = c.s.scheduler.jobs;
     const auto found = jobs.find(call.job);
-    if (found == jobs.end() || found->second.stored == stored_part::nothing) {
+    if (found == jobs.end() || !is_submission_stored(found->second)) {
         answer(c, handle, {.result = call_result::unknown_job});
         return;
     }
@@ -146,13 +166,26 @@
     c.log("cancel_processed", std::move(fields));
 }
 
+/// Records the cancellation of a job whose submission may still be on its way, to a VM that is
+/// frozen or to another holder of the lease.
+void withdraw(const context& c, call_handle handle, const job_call& call)
+{
+    log_cancellation(c, handle, call, "unknown_job", true);
+    job_record job;
+    job.spec.id = call.job;
+    job.spec.queue = call.queue;
+    job.state = job_state::withdrawn;
+    job.ended_at = c.now;
+    job.cancellers.push_back(handle);
+    mark_changed(c, c.s.scheduler.jobs.emplace(call.job, std::move(job)).first->second);
+}
+
 void cancel(const context& c, call_handle handle, const job_call& call)
 {
     auto& jobs = c.s.scheduler.jobs;
     const auto found = jobs.find(call.job);
     if (found == jobs.end()) {
-        log_cancellation(c, handle, call, "unknown_job", false);
-        answer(c, handle, {.result = call_result::unknown_job});
+        withdraw(c, handle, call);
         return;
     }
     job_record& job = found->second;
@@ -163,7 +196,7 @@
     const bool is_stored = job.published_state == job.state;
     log_cancellation(c, handle, call, had_ended ? "ended_before" : "ended_now", !is_stored);
     if (is_stored) {
-        answer(c, handle, {.result = call_result::cancelled});
+        answer_canceller(c, handle, job);
         return;
     }
     job.cancellers.push_back(handle);
@@ -422,6 +455,12 @@
     mark_changed(c, job);
 }
 
+void answer_canceller(const context& c, call_handle handle, const job_record& job)
+{
+    const bool is_known = job.published_state != job_state::withdrawn;
+    answer(c, handle, {.result = is_known ? call_result::cancelled : call_result::unknown_job});
+}
+
 void handle_call(const context& c, call_handle handle, const job_call& call)
 {
     if (c.s.lease.current_role == role::loading) {
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -68,6 +68,8 @@
 void check_loading(const context& c);
 
 // ---- jobs.cpp: life cycle of a job
+/// Answers a cancellation that is in the store.
+void answer_canceller(const context& c, call_handle handle, const job_record& job);
 /// Handles a call at the scheduler; while the jobs are being loaded the call is deferred.
 void handle_call(const context& c, call_handle handle, const job_call& call);
 /// Starts occurrences that have become due and removes ended jobs after their retention.
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -382,6 +382,12 @@
     if (found->second.kind == call_kind::cancel && result == call_result::cancelled) {
         view.cancel_was_accepted = true;
     }
+    const bool is_acknowledged =
+        result == call_result::cancelled || result == call_result::unknown_job;
+    if (found->second.kind == call_kind::cancel && is_acknowledged &&
+        !view.cancel_acknowledged_at) {
+        view.cancel_acknowledged_at = now_;
+    }
     if (result == call_result::state) {
         view.shown = e.answer.state;
     }
@@ -641,6 +647,23 @@
     }
 }
 
+void central_world::check_not_cancelled(std::size_t vm, const runner_order& order)
+{
+    constexpr millis cancel_time{3'000};
+    constexpr millis contact_time{3'000};
+    const auto found = callers_.find(order.task.job.value);
+    const bool is_in_touch = store_answers(vm) && now_ - vms_[vm].paused_until >= contact_time;
+    if (!is_in_touch || order.kind != order_kind::start || found == callers_.end()) {
+        return;
+    }
+    const auto acknowledged_at = found->second.cancel_acknowledged_at;
+    if (acknowledged_at && now_ - *acknowledged_at > cancel_time) {
+        record_violation(absl::StrCat("a start of ", task_text(order.task), ", ",
+                                      (now_ - *acknowledged_at).count,
+                                      " ms after the cancellation was acknowledged"));
+    }
+}
+
 void central_world::schedule_crash(const graph_task_id& task, std::size_t runner)
 {
     if (!crashing_tasks.contains(task)) {
@@ -842,6 +865,7 @@
         });
         return;
     }
+    check_not_cancelled(vm, e);
     if (chance(faults.unsent_orders)) {
         constexpr millis connect_timeout{500};
         schedule_event(vm, incarnation, connect_timeout,
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -87,6 +87,8 @@
     std::size_t refusals{0};
     bool was_started{false};
     bool cancel_was_accepted{false};
+    /// When its cancellation was first acknowledged, as cancelled or as unknown.
+    std::optional<instant> cancel_acknowledged_at;
     std::optional<job_state> shown;
 
     [[nodiscard]] bool was_always_refused() const { return attempts > 0 && attempts == refusals; }
@@ -295,6 +297,9 @@
     /// `task_record::placed_on`.
     void check_place(const effect& e);
     void check_start(const runner_order& order, std::size_t runner);
+    /// Checks that a VM in touch orders no start of a job long after its cancellation was
+    /// acknowledged.
+    void check_not_cancelled(std::size_t vm, const runner_order& order);
     void check_capacity(std::size_t runner);
     /// Crashes the runner soon if the task does that.
     void schedule_crash(const graph_task_id& task, std::size_t runner);
--- a/tests/test_central_jobs.cpp
+++ b/tests/test_central_jobs.cpp
@@ -101,7 +101,7 @@
     cr_assert_eq(lines[1], "job=" + id_of(3) + from +
                                " outcome=ended_before waits_for_store=false waited_ms=0");
     cr_assert_eq(lines[2], "job=" + id_of(4) + from +
-                               " outcome=unknown_job waits_for_store=false waited_ms=0");
+                               " outcome=unknown_job waits_for_store=true waited_ms=0");
 }
 
 Test(central_jobs, failing_job_ends_after_max_attempts)
