Recovery: a listed runner is asked once more before recovered tasks start again

Runs had ended as done on a runner that was silent; the next holder's recovery ended the moment that the leases of the holder before had expired, the tasks started again, and their ends were noted when the runner was found.

Cause: an expired lease shows that a run has ended, not how. The rule for that, is_given_up, stood where a holder gives up its own runs, but not at the end of a recovery.

Change: a recovery ends as leases have expired only once each listed runner that has not answered this holder has left one more hold unanswered. Services whose places are not known do not wait for that.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -708,11 +708,14 @@
     /// When `learned_disturbance` was last added to a commit.
     instant disturbance_stored_at;
     bool register_known{false};
-    /// Recovery after a takeover ends when all runners have answered, at the end of the
-    /// predecessors' leases at the latest, but not before those that answer have listed all their
-    /// ends. Until then tasks of recovered jobs do not start unless they are reconciled, but for
-    /// services that were placed on no runner or on one without unreported runs.
+    /// Recovery after a takeover ends when all runners have answered, or once the predecessors'
+    /// leases have expired and the others are given up, see `is_given_up`, but not before those
+    /// that answer have listed all their ends. Until then tasks of recovered jobs do not start
+    /// unless they are reconciled, but for services that were placed on no runner or on one without
+    /// unreported runs.
     bool recovering{false};
+    /// Services of which no place is known need not wait any longer: they have no ends to report.
+    bool services_recovered{false};
     /// See `handover::places_known`.
     bool places_known{false};
     /// Contains the service tasks whose run has `awaits_store`, each with the number of the job's
--- a/src/central/handover.cpp
+++ b/src/central/handover.cpp
@@ -115,6 +115,13 @@
     }
 }
 
+/// \return true if the runner has not answered this holder, so that it may list ends of runs that
+/// earlier holders started.
+bool may_have_unreported_ends(const runner_record& r)
+{
+    return r.stored && !r.is_fenced;
+}
+
 /// Updates whether a runner may have unreported runs.
 /// \return true if it no longer has, as its leases have expired.
 bool expire_unreported_runs(const context& c, runner_record& r)
@@ -217,6 +224,7 @@
     }
     bool all_answered = s.register_known;
     bool has_unlisted_ends{false};
+    bool are_others_given_up{true};
     for (auto& [id, r] : s.runners) {
         if (r.has_unreported_runs && unread_reports.contains(id)) {
             has_unlisted_ends = true;
@@ -228,13 +236,19 @@
         }
         has_unlisted_ends = has_unlisted_ends || (r.is_responsive && r.has_unreported_runs);
         all_answered = all_answered && r.is_responsive;
+        are_others_given_up =
+            are_others_given_up && (!may_have_unreported_ends(r) || is_given_up(r));
     }
     const bool have_leases_ended = c.s.lease.renewed_at >= c.s.lease.predecessor_leases_end;
     if (has_unlisted_ends || (!all_answered && !have_leases_ended)) {
         return;
     }
-    s.recovering = false;
+    s.services_recovered = true;
     s.placement_due = true;
+    if (!all_answered && !are_others_given_up) {
+        return;
+    }
+    s.recovering = false;
     c.log("recovery_ended", {{"runners", absl::StrCat(s.runners.size())},
                              {"all_answered", all_answered ? "true" : "false"}});
 }
@@ -253,9 +267,12 @@
     if (!ref.job->recovered || !s.recovering || ref.task->is_reconciled) {
         return false;
     }
-    if (!ref.step->is_service || !s.places_known) {
+    if (!ref.step->is_service) {
         return true;
     }
+    if (!s.places_known) {
+        return !s.services_recovered;
+    }
     const runner_record* const r = find_runner(c, ref.task->placed_on);
     return r != nullptr && r->has_unreported_runs;
 }
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -269,14 +269,6 @@
     c.s.scheduler.placement_due = true;
 }
 
-/// \return true if tasks that end may start again elsewhere although no report has shown how their
-/// runs there ended. A runner that is still listed may be found again at any time with ends that
-/// were not reported, so it is asked once more after its leases have expired.
-bool is_given_up(const runner_record& r)
-{
-    return !r.listed || r.failed_hold_sent_at > r.leases_end();
-}
-
 /// Marks the runs of an unresponsive runner as lost after their leases have expired.
 ///
 /// A successor may have extended the leases, but not before this VM sent the last successful
@@ -331,6 +323,11 @@
 
 } // namespace
 
+bool is_given_up(const runner_record& r)
+{
+    return !r.listed || r.failed_hold_sent_at > r.leases_end();
+}
+
 millis lease_length(const central_state& s)
 {
     return std::min(s.self.max_hold, config::run_lease);
--- a/tests/test_central_given_up_runs.cpp
+++ b/tests/test_central_given_up_runs.cpp
@@ -43,6 +43,52 @@
     }
 }
 
+/// The same under a successor: its recovery ended the moment that the leases of the holder before
+/// had expired (central_soak 5813).
+Test(central_given_up_runs, tasks_whose_ends_are_reported_after_a_recovery_start_once)
+{
+    constexpr millis first_silence{9'000};
+    constexpr millis leases_end = config::max_time_without_renewal + longest_run_lease;
+    for (millis silence = first_silence; silence < leases_end; silence = silence + millis{100}) {
+        central_world w{{.vms = 2, .runners = 2}};
+        w.run_for(warm_up);
+        w.submit(0, central_world::make_job(id_of(1), 1, tasks, run_time));
+        w.run_for({100});
+        w.faults.unreachable_runners.insert(silent);
+        w.kill(*w.scheduler());
+        w.run_for(silence);
+        w.faults.unreachable_runners.erase(silent);
+        w.run_for(until_done);
+        w.query(*w.scheduler(), id_of(1));
+        w.run_for({500});
+        cr_assert(w.all_done(job_state::completed));
+        cr_assert_eq(w.starts(), tasks, "%ld ms: %lu starts", static_cast<long>(silence.count),
+                     static_cast<unsigned long>(w.starts()));
+        expect_no_violation(w);
+    }
+}
+
+/// Tasks of a runner that is gone although it is listed wait for one more question, not longer.
+Test(central_given_up_runs, tasks_of_a_lost_runner_start_again_soon_after_a_recovery)
+{
+    // The leases of the holder before, a hold that was sent before they ended, and one after that.
+    constexpr millis longest_recovery = config::max_time_without_renewal + longest_run_lease +
+                                        config::runner_timeout * 2 + config::max_hold_retry;
+    central_world w{{.vms = 2, .runners = 2}};
+    w.run_for(warm_up);
+    w.submit(0, central_world::make_job(id_of(1), 1, tasks, {8'000}));
+    w.run_for({100});
+    w.faults.unreachable_runners.insert(silent);
+    w.kill(*w.scheduler());
+    w.run_for(longest_recovery);
+    cr_assert(w.starts() > tasks);
+    w.run_for(until_done);
+    w.query(*w.scheduler(), id_of(1));
+    w.run_for({500});
+    cr_assert(w.all_done(job_state::completed));
+    expect_no_violation(w);
+}
+
 /// The wait is for ends: a service has none to report, and is missed.
 Test(central_given_up_runs, services_of_a_silent_runner_start_once_their_leases_have_expired)
 {
