--- a/src/central/jobs.cpp
+++ b/src/central/jobs.cpp
@@ -137,11 +137,36 @@
     mark_changed(c, added);
 }
 
+/// \return true if no other VM can hold the lease now: one claims it when its row has not changed
+/// for `lease_length`, or has been released.
+bool is_lease_certain(const context& c)
+{
+    const lease_state& l = c.s.lease;
+    return c.now - l.renewed_at < config::lease_length && !l.release_in_flight;
+}
+
+/// Leaves a call open and handles it once more soon, here or where the lease is then.
+void handle_again(const context& c, call_handle handle)
+{
+    const auto found = c.s.calls.find(handle);
+    if (found != c.s.calls.end()) {
+        found->second.dispatched = false;
+        found->second.retry_at = c.now + config::call_retry;
+        c.wake_by(found->second.retry_at);
+    }
+}
+
 void query(const context& c, call_handle handle, const job_call& call)
 {
     const auto& jobs = c.s.scheduler.jobs;
     const auto found = jobs.find(call.job);
-    if (found == jobs.end() || !is_submission_stored(found->second)) {
+    const bool is_known = found != jobs.end() && is_submission_stored(found->second);
+    if (!is_known && !is_lease_certain(c)) {
+        // A successor may have accepted it.
+        handle_again(c, handle);
+        return;
+    }
+    if (!is_known) {
         answer(c, handle, {.result = call_result::unknown_job});
         return;
     }
--- a/tests/test_central_deposed_holders.cpp
+++ b/tests/test_central_deposed_holders.cpp
@@ -94,3 +94,28 @@
     cr_assert_eq(w.starts(), 4);
     expect_no_violation(w);
 }
+
+/// Callers were told that a job is unknown which the successor had accepted, as the deposed holder
+/// answered from memory (review/7).
+Test(central_deposed_holders, job_that_the_successor_has_accepted_is_not_unknown)
+{
+    deposed_holder d;
+    const std::size_t successor = 1 - d.deposed;
+    d.cut_off();
+    while (d.w.state_of(successor).lease.current_role != role::scheduler) {
+        d.w.run_for(step);
+    }
+    d.w.submit(successor, central_world::make_job(id_of(1), 1, 2, {4'000}));
+    d.w.run_for({100});
+    cr_assert(d.w.caller(id_of(1)).was_accepted);
+    bool was_deposed{false};
+    for (int i{0}; i < 40; ++i) {
+        was_deposed = was_deposed || d.w.state_of(d.deposed).lease.current_role == role::scheduler;
+        d.w.query(d.deposed, id_of(1));
+        d.w.cancel(d.deposed, id_of(2));
+        d.w.run_for({100});
+    }
+    cr_assert(was_deposed);
+    cr_expect_not(d.w.caller(id_of(2)).cancel_acknowledged_at.has_value());
+    expect_no_violation(d.w);
+}
