Recovery: a runner that was replaced has nothing left to be asked

Change: a 421 ends its leases before the question that it answers. A query that a deposed holder has from a peer goes back at once, as the peer may know the successor.

Evidence: tasks_of_a_replaced_runner_start_again_at_the_end_of_the_leases fails on the code before, passes now, with the virtual world listing replaced runners.

--- a/src/central/jobs.cpp
+++ b/src/central/jobs.cpp
@@ -145,15 +145,22 @@
     return c.now - l.renewed_at < config::lease_length && !l.release_in_flight;
 }
 
-/// Leaves a call open and handles it once more soon, here or where the lease is then.
+/// Leaves a call open and handles it once more soon, here or where the lease is then. A peer does
+/// that itself, as it may know more.
 void handle_again(const context& c, call_handle handle)
 {
     const auto found = c.s.calls.find(handle);
-    if (found != c.s.calls.end()) {
-        found->second.dispatched = false;
-        found->second.retry_at = c.now + config::call_retry;
-        c.wake_by(found->second.retry_at);
+    if (found == c.s.calls.end()) {
+        return;
+    }
+    open_call& call = found->second;
+    if (call.from_peer) {
+        answer(c, handle, {.result = call_result::not_scheduler});
+        return;
     }
+    call.dispatched = false;
+    call.retry_at = c.now + config::call_retry;
+    c.wake_by(call.retry_at);
 }
 
 void query(const context& c, call_handle handle, const job_call& call)
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -147,7 +147,8 @@
     update_handover(c, r);
     if (result == order_result::other_incarnation) {
         mark_all_runs_lost(c, r, loss_evidence::other_incarnation);
-        r.leases_expire_by = c.now;
+        // Before it answered, which shows that nothing of the runner is left to be asked.
+        r.leases_expire_by = r.hold_sent_at;
         r.unproven.reset();
     }
     const millis backoff = config::hold_retry * std::min<std::int64_t>(r.holds_failed, 5);
@@ -325,7 +326,7 @@
 
 bool is_given_up(const runner_record& r)
 {
-    return !r.listed || r.failed_hold_sent_at > r.leases_end();
+    return !r.listed || r.failed_hold_sent_at >= r.leases_end();
 }
 
 millis lease_length(const central_state& s)
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -555,6 +555,9 @@
             changed.present.push_back(runners_[i].entry);
         }
     }
+    if (faults.replaced_runners_are_listed) {
+        changed.present.insert(changed.present.end(), replaced_.begin(), replaced_.end());
+    }
     schedule_event(vm, vms_[vm].incarnation, store_time, changed);
 }
 
@@ -1100,6 +1103,7 @@
 
 void central_world::replace_runner(std::size_t runner)
 {
+    replaced_.push_back(runners_[runner].entry);
     runners_[runner].crash_and_change_id(now_);
     publish_registry();
 }
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -62,6 +62,8 @@
     std::set<std::size_t> vms_without_store;
     /// Runners that no VM can reach. The registry may still list them, see `set_listed`.
     std::set<std::size_t> unreachable_runners;
+    /// The registry also lists runners that were replaced since.
+    bool replaced_runners_are_listed{false};
     /// Pairs (VM, runner) that cannot reach each other.
     std::set<std::pair<std::size_t, std::size_t>> unreachable_runner_paths;
     /// Connections from VMs to runners that are open already carry nothing any more; new ones work.
@@ -328,6 +330,8 @@
     std::vector<entry_vm> vms_;
     std::vector<fake_runner> runners_;
     std::vector<bool> listed_;
+    /// Entries of replaced runners.
+    std::vector<runner_entry> replaced_;
     /// Runners that are down after a crash.
     std::set<std::size_t> crashed_runners_;
     std::map<table_key, stored_row> rows_;
--- a/tests/test_central_given_up_runs.cpp
+++ b/tests/test_central_given_up_runs.cpp
@@ -89,6 +89,26 @@
     expect_no_violation(w);
 }
 
+/// Another runner answers at its address, so it has no ends to report any more.
+Test(central_given_up_runs, tasks_of_a_replaced_runner_start_again_at_the_end_of_the_leases)
+{
+    constexpr millis leases_end = config::max_time_without_renewal + longest_run_lease;
+    central_world w{{.vms = 2, .runners = 2}};
+    w.run_for(warm_up);
+    w.submit(0, central_world::make_job(id_of(1), 1, tasks, {8'000}));
+    w.run_for({100});
+    w.faults.replaced_runners_are_listed = true;
+    w.replace_runner(silent);
+    w.kill(*w.scheduler());
+    w.run_for(leases_end + config::max_hold_retry * 2);
+    cr_assert(w.starts() > tasks);
+    w.run_for(until_done);
+    w.query(*w.scheduler(), id_of(1));
+    w.run_for({500});
+    cr_assert(w.all_done(job_state::completed));
+    expect_no_violation(w);
+}
+
 /// The wait is for ends: a service has none to report, and is missed.
 Test(central_given_up_runs, services_of_a_silent_runner_start_once_their_leases_have_expired)
 {
