Jobs: a step that names a dependency twice starts

Cause: the step counts its dependencies by the entries of `after` and learns of each end once.

Evidence: step_that_names_a_dependency_twice_starts fails on the code before, passes now.

--- a/src/central/jobs.cpp
+++ b/src/central/jobs.cpp
@@ -78,6 +78,15 @@
     }
 }
 
+/// A step may name an earlier one more than once; it waits for it once.
+void remove_repeated_dependencies(graph_job& job)
+{
+    for (graph_step& step : job.steps) {
+        std::sort(step.after.begin(), step.after.end());
+        step.after.erase(std::unique(step.after.begin(), step.after.end()), step.after.end());
+    }
+}
+
 /// Copies the current settings of the job's queue to the job; if the queue was removed, the job
 /// keeps its previous settings.
 void refresh_queue_settings(const context& c, job_record& job)
@@ -323,6 +332,7 @@
 {
     job_record job;
     job.spec = spec;
+    remove_repeated_dependencies(job.spec);
     job.queue_settings = queue_settings;
     job.submitted_at = submitted_at;
     job.idle_since = submitted_at;
--- a/tests/test_central_jobs.cpp
+++ b/tests/test_central_jobs.cpp
@@ -190,6 +190,21 @@
     expect_no_violation(w);
 }
 
+/// Guards against a job that is accepted and never ends, as its dependencies are counted twice.
+Test(central_jobs, step_that_names_a_dependency_twice_starts)
+{
+    central_world w{{}};
+    w.run_for(warm_up);
+    graph_job job = central_world::make_job(id_of(1), 3, 2, {100});
+    job.steps[2].after = {1, 0, 1};
+    w.submit(0, job);
+    w.run_for({3'000});
+    w.query(0, id_of(1));
+    w.run_for({100});
+    cr_expect(w.caller(id_of(1)).shown == job_state::completed);
+    expect_no_violation(w);
+}
+
 /// Guards against a scheduler that refuses all jobs for good: it had dropped the only job that it
 /// could not store, so it had nothing to store that would have shown that the store is back.
 Test(central_jobs, jobs_are_accepted_again_after_the_store_refused_the_only_one)
