--- a/tests/test_central_given_up_runs.cpp
+++ b/tests/test_central_given_up_runs.cpp
@@ -19,6 +19,25 @@
 constexpr millis longest_silence{longest_run_lease + millis{400}};
 constexpr millis until_done{12'000};
 
+void expect_completed(central_world& w)
+{
+    w.query(*w.scheduler(), id_of(1));
+    w.run_for({500});
+    cr_assert(w.all_done(job_state::completed));
+    expect_no_violation(w);
+}
+
+/// The silent runner is found after some time: its tasks must have started once, and be done.
+void expect_one_start_each(central_world& w, millis silence)
+{
+    w.run_for(silence);
+    w.faults.unreachable_runners.erase(silent);
+    w.run_for(until_done);
+    expect_completed(w);
+    cr_assert_eq(w.starts(), tasks, "%ld ms: %lu starts", static_cast<long>(silence.count),
+                 static_cast<unsigned long>(w.starts()));
+}
+
 } // namespace
 
 /// Users saw TWICE: the tasks had ended as done while no report came through, and started again as
@@ -31,15 +50,7 @@
         w.submit(0, central_world::make_job(id_of(1), 1, tasks, run_time));
         w.run_for({100});
         w.faults.unreachable_runners.insert(silent);
-        w.run_for(silence);
-        w.faults.unreachable_runners.erase(silent);
-        w.run_for(until_done);
-        w.query(0, id_of(1));
-        w.run_for({500});
-        cr_assert(w.all_done(job_state::completed));
-        cr_assert_eq(w.starts(), tasks, "%ld ms: %lu starts", static_cast<long>(silence.count),
-                     static_cast<unsigned long>(w.starts()));
-        expect_no_violation(w);
+        expect_one_start_each(w, silence);
     }
 }
 
@@ -56,15 +67,7 @@
         w.run_for({100});
         w.faults.unreachable_runners.insert(silent);
         w.kill(*w.scheduler());
-        w.run_for(silence);
-        w.faults.unreachable_runners.erase(silent);
-        w.run_for(until_done);
-        w.query(*w.scheduler(), id_of(1));
-        w.run_for({500});
-        cr_assert(w.all_done(job_state::completed));
-        cr_assert_eq(w.starts(), tasks, "%ld ms: %lu starts", static_cast<long>(silence.count),
-                     static_cast<unsigned long>(w.starts()));
-        expect_no_violation(w);
+        expect_one_start_each(w, silence);
     }
 }
 
@@ -83,10 +86,7 @@
     w.run_for(longest_recovery);
     cr_assert(w.starts() > tasks);
     w.run_for(until_done);
-    w.query(*w.scheduler(), id_of(1));
-    w.run_for({500});
-    cr_assert(w.all_done(job_state::completed));
-    expect_no_violation(w);
+    expect_completed(w);
 }
 
 /// Another runner answers at its address, so it has no ends to report any more.
@@ -103,10 +103,7 @@
     w.run_for(leases_end + config::max_hold_retry * 2);
     cr_assert(w.starts() > tasks);
     w.run_for(until_done);
-    w.query(*w.scheduler(), id_of(1));
-    w.run_for({500});
-    cr_assert(w.all_done(job_state::completed));
-    expect_no_violation(w);
+    expect_completed(w);
 }
 
 /// The wait is for ends: a service has none to report, and is missed.
