--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -82,6 +82,14 @@
     }
     for (std::size_t i{0}; i < runners_.size(); ++i) {
         runners_[i].started_at = now_;
+        if (options.has_any_runner_clocks) {
+            constexpr std::uint64_t latest_origin_ms{10'000'000};
+            runners_[i].clock_percent = 98 + static_cast<std::int64_t>(random_() % 3);
+            runners_[i].next_clock_origin = [this] {
+                return static_cast<std::int64_t>(random_() % latest_origin_ms);
+            };
+            runners_[i].clock_origin.ms = runners_[i].next_clock_origin();
+        }
         runners_[i].on_end = [this](const graph_task_id& task, run_number, end_cause cause,
                                     instant when) {
             tasks_[task].done = tasks_[task].done || cause == end_cause::done;
@@ -597,7 +605,10 @@
     if (order == nullptr || order->kind != order_kind::start || !behaviour_of(*order).is_service) {
         return;
     }
-    if (stored_place_of(order->task) != order->runner) {
+    // A deposed holder that was frozen may order what its successor has changed since; the runner
+    // refuses that.
+    const bool is_refused = runners_[index_of(order->runner)].is_fenced_against(order->term);
+    if (!is_refused && stored_place_of(order->task) != order->runner) {
         record_violation("a start of " + task_text(order->task) + " whose place is not stored");
     }
 }
@@ -914,7 +925,8 @@
     const runner_incarnation receiver = runners_[index_of(e.runner)].incarnation();
     schedule(now_ + (is_late ? late : network_time),
              [this, vm, e, is_lost, was_received, receiver, incarnation] {
-                 if (runners_[index_of(e.runner)].incarnation() == receiver) {
+                 const bool outlives = is_lost && faults.late_orders_outlive_runners;
+                 if (outlives || runners_[index_of(e.runner)].incarnation() == receiver) {
                      deliver_order(vm, e, was_received, !is_lost, incarnation);
                  }
                  else if (!is_lost) {
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -24,6 +24,8 @@
     std::size_t vms{3};
     std::size_t runners{4};
     resources runner_capacity{16'000, 64'000, 0};
+    /// The runners' clocks show anything at the start of an incarnation, and may be slow.
+    bool has_any_runner_clocks{false};
     /// Capacities of the VMs by index; VMs beyond the list have none configured.
     std::vector<vm_capacity> capacities{};
 };
@@ -56,6 +58,8 @@
     double lost_orders{0};
     /// Share of orders that are executed seconds late and not answered.
     double late_orders{0};
+    /// They are carried out by whichever incarnation is up then.
+    bool late_orders_outlive_runners{false};
     /// Share of orders that the VM cannot send: it knows so after 500 ms.
     double unsent_orders{0};
     /// VMs that cannot reach the store.
--- a/tests/central/fake_runner.cpp
+++ b/tests/central/fake_runner.cpp
@@ -47,8 +47,8 @@
 
 void fake_runner::extend_lease(remote_instant until, instant now)
 {
-    const instant asked = started_at + millis{until.ms - 1};
-    lease_until_ = std::max(lease_until_, std::min(asked, now + max_hold));
+    const instant longest = now + max_hold * 100 / clock_percent;
+    lease_until_ = std::max(lease_until_, std::min(when_clock_shows(until), longest));
 }
 
 order_result fake_runner::handle(const runner_order& order, const task_behaviour& behaviour,
@@ -78,7 +78,7 @@
         }
         return order_result::done;
     }
-    const instant until = started_at + millis{order.lease_until.ms - 1};
+    const instant until = when_clock_shows(order.lease_until);
     if (found != running.end() && found->second.number == order.run) {
         return order_result::done;
     }
@@ -159,6 +159,7 @@
     last_end_ = 0;
     highest_term_ = {};
     started_at = now;
+    clock_origin.ms = next_clock_origin ? next_clock_origin() : 1;
     lease_until_ = now;
     ++entry.started_at_ms;
 }
--- a/tests/central/fake_runner.h
+++ b/tests/central/fake_runner.h
@@ -65,11 +65,21 @@
     /// \return the time of the next end of a run or lease.
     [[nodiscard]] instant next_end() const;
     [[nodiscard]] bool has_unacknowledged_end() const;
-    [[nodiscard]] remote_instant clock(instant now) const { return {now.ms - started_at.ms + 1}; }
+    /// \return true if it has seen a higher term, so that it refuses orders of this one.
+    [[nodiscard]] bool is_fenced_against(term_number term) const { return term < highest_term_; }
+    [[nodiscard]] remote_instant clock(instant now) const
+    {
+        return {clock_origin.ms + (now - started_at).count * clock_percent / 100};
+    }
     [[nodiscard]] runner_incarnation incarnation() const { return {entry.started_at_ms}; }
 
     runner_entry entry;
     instant started_at;
+    /// What its clock shows at the start of an incarnation, and how fast it runs.
+    remote_instant clock_origin{1};
+    std::int64_t clock_percent{100};
+    /// \return what the clock of the next incarnation shows at its start; 1 if it is not set.
+    std::function<std::int64_t()> next_clock_origin;
     /// Longest lease that it takes.
     millis max_hold{10'000};
     bool is_up{true};
@@ -87,6 +97,11 @@
 
 private:
     void end(const graph_task_id& task, end_cause cause, instant at);
+    /// \return when its clock shows this.
+    [[nodiscard]] instant when_clock_shows(remote_instant at) const
+    {
+        return started_at + millis{(at.ms - clock_origin.ms) * 100 / clock_percent};
+    }
     /// \param until on the runner's clock; cut to `max_hold` from now.
     void extend_lease(remote_instant until, instant now);
 
