Logs: which incarnation a run was started for, and over which connection a restart shows

The record's lines could not tell a lease on the clock of another incarnation from a lease that was miscounted: neither the incarnation that the holder meant nor the end of the lease was in them, nor whether a connection had outlived its incarnation. run_started, run_lost and runner_restarted say so now.

--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -86,14 +86,18 @@
 
 void log_restart(const context& c, const runner_record& r, const runner_hold_ended& report)
 {
-    c.log("runner_restarted", {{"runner", r.entry.id.value},
-                               {"started_at", absl::StrCat(report.started_at_ms)},
-                               {"started_before", absl::StrCat(r.entry.started_at_ms)},
-                               {"clock_ms", absl::StrCat(report.clock.ms)},
-                               {"runs_known", absl::StrCat(r.runs.size())},
-                               {"runs_reported", absl::StrCat(report.running.size())},
-                               {"ends_reported", absl::StrCat(report.ended.size())},
-                               {"acknowledged", absl::StrCat(r.acknowledgement_delivered)}});
+    c.log("runner_restarted",
+          {{"runner", r.entry.id.value},
+           {"started_at", absl::StrCat(report.started_at_ms)},
+           {"started_before", absl::StrCat(r.entry.started_at_ms)},
+           {"clock_ms", absl::StrCat(report.clock.ms)},
+           {"runs_known", absl::StrCat(r.runs.size())},
+           {"runs_reported", absl::StrCat(report.running.size())},
+           {"ends_reported", absl::StrCat(report.ended.size())},
+           {"acknowledged", absl::StrCat(r.acknowledgement_delivered)},
+           {"clock_before", absl::StrCat(r.last_alive.shown.ms)},
+           {"over_kept_connection", report.was_bare ? "false" : "true"},
+           {"leases_end_ms", absl::StrCat((r.leases_expire_by - c.now).count)}});
 }
 
 /// Resets the per-incarnation state of a runner that restarted under the same id.
--- a/src/central/runs.cpp
+++ b/src/central/runs.cpp
@@ -33,6 +33,12 @@
     return fields;
 }
 
+/// Adds the incarnation for which a run was started, as this VM knows it.
+void add_incarnation(std::vector<log_field>& fields, const runner_record& r)
+{
+    fields.push_back({"incarnation", absl::StrCat(r.entry.started_at_ms)});
+}
+
 /// Releases a run whose runner restarted or whose lease expired.
 ///
 /// While the start order is unanswered, the run is kept and flagged instead: the answer may come
@@ -50,6 +56,10 @@
     fields.push_back({"survived_ms", absl::StrCat(survived.count)});
     fields.push_back({"draining", r.entry.draining ? "true" : "false"});
     fields.push_back({"runs", absl::StrCat(r.runs.size())});
+    add_incarnation(fields, r);
+    const std::int64_t started_clock = lost_run.started_by ? lost_run.started_by->ms : 0;
+    fields.push_back({"started_clock_ms", absl::StrCat(started_clock)});
+    fields.push_back({"leases_ended_ms_ago", absl::StrCat((c.now - r.leases_expire_by).count)});
     c.log("run_lost", std::move(fields));
     release_run(c, id, ref);
 }
@@ -71,6 +81,16 @@
     }
 }
 
+void log_start(const context& c, const runner_record& r, const runner_order& order,
+               const run& started)
+{
+    const char* const outcome = order.checkpoint.empty() ? "fresh" : "resumed";
+    std::vector<log_field> fields = fields_of(c, order.task, started, outcome);
+    add_incarnation(fields, r);
+    fields.push_back({"until_ms", absl::StrCat(order.lease_until.ms)});
+    c.log("run_started", std::move(fields));
+}
+
 void order_start(const context& c, const graph_task_id& id, const task_ref& ref, runner_record& r)
 {
     run& started = *ref.task->current_run;
@@ -84,7 +104,7 @@
     if (const auto since = std::exchange(ref.task->without_run_since, std::nullopt)) {
         order.waited = c.now - *since;
     }
-    log_run(c, "run_started", id, started, order.checkpoint.empty() ? "fresh" : "resumed");
+    log_start(c, r, order, started);
     if (ref.task->crashes.is_suspect) {
         r.probation_until = c.now + config::crash_probation;
         c.wake_by(*r.probation_until);
