Crashes: the answer of another incarnation is no sign of life

Cause: clocks of two incarnations were compared. Stops and paces go over connections that have proved nothing, and a later clock was taken for the known incarnation's.

Fix: only the answer to a start that was carried out counts, as starts go over proved connections only.

Test, red before: answer_of_an_unnoticed_incarnation_is_no_sign_of_life.

--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -17,6 +17,24 @@
     return e.runner_started_at_ms == r.entry.started_at_ms;
 }
 
+/// \return true if the known incarnation has certainly given the answer: only starts go over
+/// connections that have proved it. The clock of another one may show anything.
+bool is_proved_answer(const runner_order_ended& e, const runner_record& r)
+{
+    return e.kind == order_kind::start && e.result == order_result::done && e.clock &&
+           is_for_current_incarnation(e, r);
+}
+
+/// Records what the clock of the known incarnation shows. The answer may be older than the last
+/// sign of life.
+void note_clock(const context& c, runner_record& r, remote_instant shown)
+{
+    r.clock = clock_sample{shown, c.now};
+    if (r.is_responsive && shown >= r.last_alive.shown) {
+        r.last_alive = *r.clock;
+    }
+}
+
 /// \param clock the runner's clock when it answered the order.
 void on_start_done(const context& c, const graph_task_id& id, task_ref ref, runner_record& r,
                    const std::optional<remote_instant>& clock)
@@ -141,14 +159,8 @@
         step_down(c, "a runner has seen a higher term");
         return;
     }
-    if (r != nullptr && e.clock && r->clock && is_for_current_incarnation(e, *r)) {
-        r->clock = clock_sample{*e.clock, c.now};
-        const bool is_same_incarnation = r->is_responsive &&
-                                         e.result != order_result::other_incarnation &&
-                                         *e.clock >= r->last_alive.shown;
-        if (is_same_incarnation) {
-            r->last_alive = *r->clock;
-        }
+    if (r != nullptr && r->clock && is_proved_answer(e, *r)) {
+        note_clock(c, *r, *e.clock);
     }
     const bool is_unanswered =
         e.result == order_result::unknown || e.result == order_result::not_sent;
--- a/tests/test_central_incarnations.cpp
+++ b/tests/test_central_incarnations.cpp
@@ -15,6 +15,7 @@
 constexpr millis long_life{20'000};
 constexpr millis until_leases_have_expired{14'000};
 constexpr std::uint64_t seeds{40};
+constexpr std::int64_t far_ahead_ms{5'000'000};
 
 graph_job make_service(std::uint64_t id, std::uint32_t tasks)
 {
@@ -161,3 +162,28 @@
     cr_assert_eq(w.starts(), 4);
     expect_no_violation(w);
 }
+
+/// The clock of the next incarnation may be ahead: its answer to a stop is no sign that the former
+/// one, and the task that crashed it, lived on.
+Test(central_incarnations, answer_of_an_unnoticed_incarnation_is_no_sign_of_life)
+{
+    central_world w{{.vms = 1, .runners = 1}};
+    w.crash_breaks_connections = false;
+    w.runner(0).next_clock_origin = [] { return far_ahead_ms; };
+    std::size_t suspected{0};
+    w.log_to = [&suspected](const std::string& line) {
+        const bool is_suspected = line.find("task_suspected task=" + id_of(2)) != std::string::npos;
+        suspected += is_suspected ? 1 : 0;
+    };
+    w.run_for(warm_up);
+    w.submit(0, central_world::make_job(id_of(1), 1, 1, long_life));
+    w.run_for({300});
+    w.submit(0, central_world::make_job(id_of(2), 1, 1, long_life));
+    w.run_for({50});
+    cr_assert_eq(w.runner(0).running.size(), 2);
+    w.crash_runner(0);
+    w.cancel(0, id_of(1));
+    w.run_for({8'000});
+    cr_assert_eq(suspected, 1);
+    expect_no_violation(w);
+}
