Takeover: leases of earlier versions are counted without a look at the runner's clock

Cause: the successor told such a runner by a clock below 10.3 s. A runner's clock may begin anywhere.

Fix: the lease row says for how long such leases may be valid; a process of an earlier version does not say it, and so may have granted one until it lost the lease. The time only shrinks from row to row.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -503,6 +503,9 @@
     std::optional<handover> handed_over;
     /// Different in each row that a process sends.
     std::uint64_t number{0};
+    /// Time until all leases have expired whose end may be on the clock of another incarnation than
+    /// the one that took them. Processes of earlier versions grant such leases, and do not set it.
+    std::optional<millis> foreign_leases_end_within;
 };
 
 enum class role : std::uint8_t {
@@ -530,6 +533,8 @@
     handover predecessor;
     /// When the leases of earlier holders have expired on runners that were not handed over.
     instant predecessor_leases_end;
+    /// See `lease_row::foreign_leases_end_within`.
+    instant foreign_leases_end;
     /// The last row that was sent, and its text.
     lease_row row_in_flight;
     std::string encoded_in_flight;
--- a/src/central/codec.cpp
+++ b/src/central/codec.cpp
@@ -130,7 +130,7 @@
 
 /// Processes of an earlier version expect a handover in another format, which is never set.
 template <typename Archive>
-void serialize(Archive& archive, lease_row& r)
+void serialize_up_to_number(Archive& archive, lease_row& r)
 {
     bool lacks_earlier_handover{true};
     archive(r.holder, r.address, r.incarnation, r.term, r.released, r.recovered,
@@ -141,6 +141,24 @@
     archive(r.handed_over, r.number);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, lease_row& r)
+{
+    serialize_up_to_number(archive, r);
+    archive(r.foreign_leases_end_within);
+}
+
+/// A lease row as it was written before `foreign_leases_end_within` was added.
+struct lease_row_without_foreign_leases {
+    lease_row row;
+};
+
+template <typename Archive>
+void serialize(Archive& archive, lease_row_without_foreign_leases& r)
+{
+    serialize_up_to_number(archive, r.row);
+}
+
 /// A lease row as it was written before `handed_over` was added.
 struct lease_row_without_handover {
     lease_row row;
@@ -449,6 +467,10 @@
     if (row.ok()) {
         return row;
     }
+    if (const auto earlier = decode<lease_row_without_foreign_leases>(text, "lease");
+        earlier.ok()) {
+        return earlier->row;
+    }
     if (const auto earlier = decode<lease_row_without_handover>(text, "lease"); earlier.ok()) {
         return earlier->row;
     }
--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -49,6 +49,12 @@
     return config::max_time_without_renewal + longest_lease(s);
 }
 
+/// \return true if the holder in the row has certainly granted its last lease.
+bool grants_no_more(const central_state& s)
+{
+    return is_held_by_previous_incarnation(s) || s.lease.row->released;
+}
+
 /// \return the time from `seen_at` until all leases that the holder in the row granted have
 /// expired.
 millis time_until_holders_leases_end(const central_state& s)
@@ -60,8 +66,19 @@
     if (!may_have_granted(*l.row)) {
         return {};
     }
-    const bool grants_no_more = is_held_by_previous_incarnation(s) || l.row->released;
-    return grants_no_more ? longest_lease(s) : longest_time_of_leases(s);
+    return grants_no_more(s) ? longest_lease(s) : longest_time_of_leases(s);
+}
+
+/// \return the time from `seen_at` until leases have expired as
+/// `lease_row::foreign_leases_end_within` says.
+millis time_until_foreign_leases_end(const central_state& s)
+{
+    const lease_state& l = s.lease;
+    if (!l.row) {
+        return {};
+    }
+    const millis longest_grant = grants_no_more(s) ? millis{0} : config::max_time_without_renewal;
+    return l.row->foreign_leases_end_within.value_or(longest_grant + longest_foreign_lease(s));
 }
 
 /// Keeps what the last row says about earlier holders: the feed may deliver this VM's own row,
@@ -76,8 +93,10 @@
     if (l.row && l.row->handed_over) {
         l.predecessor = *l.row->handed_over;
     }
-    const millis until_end =
-        std::max(l.predecessor.earlier_leases_end_within, time_until_holders_leases_end(s));
+    const millis until_foreign_end = time_until_foreign_leases_end(s);
+    l.foreign_leases_end = l.seen_at + until_foreign_end;
+    const millis until_end = std::max({l.predecessor.earlier_leases_end_within,
+                                       time_until_holders_leases_end(s), until_foreign_end});
     l.predecessor_leases_end = l.seen_at + until_end;
 }
 
@@ -133,7 +152,8 @@
 lease_row own_row(const central_state& s, term_number term, bool released)
 {
     const bool recovered = s.lease.current_role == role::scheduler && !s.scheduler.recovering;
-    return {s.self.vm.value, s.self.address, s.self.incarnation, term, released, recovered, {}, 0};
+    return {
+        s.self.vm.value, s.self.address, s.self.incarnation, term, released, recovered, {}, 0, {}};
 }
 
 /// Encodes the row that is about to be sent. Runners for which it has no room are left out, as if
@@ -162,6 +182,7 @@
     commit.preconditions.push_back({lease_key, l.version});
     l.row_in_flight = own_row(c.s, l.term, released);
     l.row_in_flight.handed_over = make_handover(c, released);
+    l.row_in_flight.foreign_leases_end_within = std::max(millis{0}, l.foreign_leases_end - c.now);
     l.row_in_flight.number = ++l.last_commit;
     l.encoded_in_flight = encode_fitting_lease(c, l.row_in_flight);
     commit.changes.push_back({lease_key, l.encoded_in_flight});
--- a/src/central/runners.cpp
+++ b/src/central/runners.cpp
@@ -84,6 +84,15 @@
                       wait, wait + config::runner_timeout, r.hold_was_unanswered});
 }
 
+/// \return the time by which leases have expired that earlier holders granted on the runner, which
+/// refuses their orders from now on.
+instant earlier_leases_end(const context& c)
+{
+    const instant longest_foreign = c.now + longest_foreign_lease(c.s);
+    const instant foreign = std::min(c.s.lease.foreign_leases_end, longest_foreign);
+    return std::max(c.now + longest_lease(c.s), foreign);
+}
+
 void log_restart(const context& c, const runner_record& r, const runner_hold_ended& report)
 {
     c.log("runner_restarted",
@@ -116,7 +125,7 @@
     r.report_clock.reset();
     r.is_disturbed = false;
     r.is_paused = false;
-    r.leases_expire_by = c.now + longest_lease(c.s);
+    r.leases_expire_by = earlier_leases_end(c);
 }
 
 void log_runner(const context& c, const char* event, const runner_record& r,
@@ -156,15 +165,6 @@
     c.wake_by(r.next_hold_at);
 }
 
-/// \return the longest time until leases expire that earlier holders have given. They may not have
-/// noticed a restart of late.
-millis longest_earlier_lease(const context& c, const runner_hold_ended& report)
-{
-    const millis foreign = longest_foreign_lease(c.s);
-    const bool may_be_foreign = report.clock.ms < foreign.count && !report.running.empty();
-    return may_be_foreign ? foreign : longest_lease(c.s);
-}
-
 void process_hold_report(const context& c, runner_record& r, const runner_hold_ended& e)
 {
     const bool other_incarnation = r.entry.started_at_ms != 0 && e.started_at_ms != 0 &&
@@ -188,7 +188,7 @@
         // The runner rejects orders of earlier terms from now on, so earlier holders can extend no
         // lease on it.
         r.is_fenced = true;
-        r.leases_expire_by = c.now + longest_earlier_lease(c, e);
+        r.leases_expire_by = earlier_leases_end(c);
     }
     if (!r.is_responsive) {
         log_runner(c, "runner_found", r, absl::StrCat("runs reported ", e.running.size()));
--- a/tests/test_central_codec.cpp
+++ b/tests/test_central_codec.cpp
@@ -153,11 +153,11 @@
 /// `handed_over` yet.
 Test(central_codec, lease_row_of_an_earlier_version_is_read)
 {
-    const lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, true, {}, 0};
+    const lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, true, {}, 0, {}};
     const std::string text = encode_lease(row);
-    // Its number, and two marks of a handover that is not set.
+    // Its number, two marks of a handover that is not set, and one of foreign leases.
     constexpr std::size_t number_bytes{8};
-    const std::size_t known_bytes = text.size() - number_bytes - 2;
+    const std::size_t known_bytes = text.size() - number_bytes - 3;
     const auto without_handover = decode_lease(text.substr(0, known_bytes));
     cr_assert(without_handover.ok());
     cr_assert(without_handover->recovered);
@@ -176,9 +176,20 @@
     cr_assert_not(decode_lease(text.substr(0, known_bytes - 2)).ok());
 }
 
+/// A process of landing 17 and before does not say when foreign leases end.
+Test(central_codec, lease_row_without_foreign_leases_is_read)
+{
+    const lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, false, handover{}, 9, {}};
+    const std::string text = encode_lease(row);
+    const auto earlier = decode_lease(text.substr(0, text.size() - 1));
+    cr_assert(earlier.ok() && earlier->handed_over.has_value());
+    cr_assert_eq(earlier->number, 9);
+    cr_assert_not(earlier->foreign_leases_end_within.has_value());
+}
+
 Test(central_codec, lease_row_keeps_what_its_holder_handed_over)
 {
-    lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, false, {}, 9};
+    lease_row row{"vm1", "10.0.0.1:7000", 7, {3}, true, false, {}, 9, millis{4'100}};
     const graph_task_id task{{"0123456789abcdef"}, 2, 1, 7};
     row.handed_over = handover{
         {{{"i-1"}, {4'000}, {task}, true}, {{"i-2"}, {100}, {}, false}}, {6'220}, true, true};
@@ -188,6 +199,7 @@
     cr_assert(read->handed_over->may_grant);
     cr_assert(read->handed_over->places_known);
     cr_assert_eq(read->number, 9);
+    cr_assert(read->foreign_leases_end_within == millis{4'100});
     const auto& runners = read->handed_over->runners;
     cr_assert_eq(runners.size(), 2);
     cr_assert(runners[0].runner == runner_id{"i-1"});
--- a/tests/test_central_incarnations.cpp
+++ b/tests/test_central_incarnations.cpp
@@ -3,6 +3,7 @@
 /// incarnation, and leases are on the clock of the former one.
 #include <criterion/criterion.h>
 
+#include "central/codec.h"
 #include "central/expectations.h"
 
 using namespace cuminmoor;
@@ -163,6 +164,42 @@
     expect_no_violation(w);
 }
 
+/// A holder of an earlier version may have given a lease whose end is on another incarnation's
+/// clock. What that clock shows does not tell.
+Test(central_incarnations, successor_of_an_earlier_version_counts_the_longest_lease)
+{
+    central_world w{{.vms = 2, .runners = 2}};
+    w.runner(0).clock_origin.ms = far_ahead_ms;
+    w.run_for(warm_up);
+    const std::size_t before = *w.scheduler();
+    w.submit(before, make_service(1, 8));
+    w.run_for({300});
+    cr_assert(!w.runner(0).running.empty());
+    const lease_state& lease = w.state_of(before).lease;
+    lease_row earlier = *lease.row;
+    earlier.foreign_leases_end_within.reset();
+    w.kill(before);
+    w.put_row({table::control, "lease"}, encode_lease(earlier));
+    // So that the other VM reads the row.
+    w.faults.store_is_down = true;
+    w.run_for({1'500});
+    w.faults.store_is_down = false;
+    runner_hold foreign;
+    foreign.term = lease.term;
+    const instant latest = w.now() + long_life;
+    while (!w.scheduler() && w.now() < latest) {
+        foreign.lease_until = w.runner(0).clock(w.now()) + long_life;
+        w.runner(0).handle(foreign, w.now());
+        w.run_for({10});
+    }
+    cr_assert(w.scheduler());
+    w.run_for({100});
+    w.faults.unreachable_runners.insert(0);
+    w.run_for(until_leases_have_expired);
+    cr_assert_eq(w.runner(1).running.size(), 8);
+    expect_no_violation(w);
+}
+
 /// The clock of the next incarnation may be ahead: its answer to a stop is no sign that the former
 /// one, and the task that crashed it, lived on.
 Test(central_incarnations, answer_of_an_unnoticed_incarnation_is_no_sign_of_life)
--- a/tests/test_central_takeover.cpp
+++ b/tests/test_central_takeover.cpp
@@ -253,7 +253,7 @@
         s.lease.term.value = 1;
         s.lease.current_role = role::scheduler;
         s.lease.version = 5;
-        s.lease.row = lease_row{"vm1", s.self.address, 7, s.lease.term, false, false, {}};
+        s.lease.row = lease_row{"vm1", s.self.address, 7, s.lease.term, false, false, {}, 0, {}};
         s.lease.seen_at = s.lease.renewed_at = s.lease.renewal_sent_at = now;
     }
     effects handle_event(const central::event& e)
