--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -605,14 +605,22 @@
     if (order == nullptr || order->kind != order_kind::start || !behaviour_of(*order).is_service) {
         return;
     }
+    if (stored_place_of(order->task) == order->runner) {
+        return;
+    }
+    unplaced_starts_.emplace(order->task, order->run);
     // A deposed holder that was frozen may order what its successor has changed since; the runner
     // refuses that.
-    const bool is_refused = runners_[index_of(order->runner)].is_fenced_against(order->term);
-    if (!is_refused && stored_place_of(order->task) != order->runner) {
-        record_violation("a start of " + task_text(order->task) + " whose place is not stored");
+    if (!runners_[index_of(order->runner)].is_fenced_against(order->term)) {
+        record_unplaced_start(*order);
     }
 }
 
+void central_world::record_unplaced_start(const runner_order& order)
+{
+    record_violation("a start of " + task_text(order.task) + " whose place is not stored");
+}
+
 void central_world::check_start(const runner_order& order, std::size_t runner)
 {
     const graph_task_id& task = order.task;
@@ -870,6 +878,9 @@
     if (has_started) {
         ++starts_;
         check_start(order, runner);
+        if (unplaced_starts_.contains({order.task, order.run})) {
+            record_unplaced_start(order);
+        }
         check_capacity(runner);
         schedule_crash(order.task, runner);
     }
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -302,6 +302,7 @@
     /// Checks that the store has the place of a service task that is to start, see
     /// `task_record::placed_on`.
     void check_place(const effect& e);
+    void record_unplaced_start(const runner_order& order);
     void check_start(const runner_order& order, std::size_t runner);
     /// Checks that a VM in touch orders no start of a job long after its cancellation was
     /// acknowledged.
@@ -368,6 +369,8 @@
     std::uint64_t last_handle_{0};
     std::map<graph_task_id, task_history> tasks_;
     std::map<graph_task_id, instant> done_at_;
+    /// Starts that were ordered although the store had another place.
+    std::set<std::pair<graph_task_id, run_number>> unplaced_starts_;
     std::vector<std::string> violations_;
     std::uint64_t starts_{0};
     std::size_t commits_{0};
--- a/tests/central/recut_play.h
+++ b/tests/central/recut_play.h
@@ -47,13 +47,18 @@
         }
         w_.faults = {};
         w_.run_for(rest);
-        return w_.violations();
+        std::vector<std::string> seen = w_.violations();
+        if (w_.starts() < least_starts) {
+            seen.push_back("too few starts to show anything: " + std::to_string(w_.starts()));
+        }
+        return seen;
     }
 
 private:
     static constexpr std::int64_t vm_count{3};
     static constexpr std::size_t runner_count{12};
     static constexpr std::int64_t dark_ms{600};
+    static constexpr std::uint64_t least_starts{100};
 
     std::int64_t below(std::int64_t bound)
     {
