Takeover: what an earlier version handed over about a silent runner is lengthened

Cause: the time in the row is the old holder's own count.

Test: successor_of_an_earlier_version_waits_for_a_silent_runner, red before for the named runner. Also: comments that still took a clock for an age.

--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -422,7 +422,7 @@
     std::uint32_t failures_in_a_row{0};
     instant avoided_until;
 
-    /// Last sign of life of this incarnation. An answer with an earlier clock is of a later one.
+    /// Last sign of life of the known incarnation.
     clock_sample last_alive;
     /// The last loss, unless the runner was leaving.
     std::optional<runner_loss> loss;
--- a/src/central/lease.cpp
+++ b/src/central/lease.cpp
@@ -77,8 +77,22 @@
     if (!l.row) {
         return {};
     }
-    const millis longest_grant = grants_no_more(s) ? millis{0} : config::max_time_without_renewal;
-    return l.row->foreign_leases_end_within.value_or(longest_grant + longest_foreign_lease(s));
+    const millis until_last_grant =
+        grants_no_more(s) ? millis{0} : config::max_time_without_renewal;
+    return l.row->foreign_leases_end_within.value_or(until_last_grant + longest_foreign_lease(s));
+}
+
+/// Lengthens the times that a process of an earlier version has handed over: it counted a foreign
+/// lease as one of its own.
+void add_foreign_leases(const central_state& s, const lease_row& row, handover& h)
+{
+    if (row.foreign_leases_end_within) {
+        return;
+    }
+    for (unreported_runner& each : h.runners) {
+        each.leases_end_within =
+            each.leases_end_within + (longest_foreign_lease(s) - longest_lease(s));
+    }
 }
 
 /// Keeps what the last row says about earlier holders: the feed may deliver this VM's own row,
@@ -92,6 +106,7 @@
     l.predecessor.earlier_leases_end_within = longest_time_of_leases(s);
     if (l.row && l.row->handed_over) {
         l.predecessor = *l.row->handed_over;
+        add_foreign_leases(s, *l.row, l.predecessor);
     }
     const millis until_foreign_end = time_until_foreign_leases_end(s);
     l.foreign_leases_end = l.seen_at + until_foreign_end;
--- a/src/central/run_orders.cpp
+++ b/src/central/run_orders.cpp
@@ -18,7 +18,8 @@
 }
 
 /// \return true if the known incarnation has certainly given the answer: only starts go over
-/// connections that have proved it. The clock of another one may show anything.
+/// connections that have proved it, and one that was refused may show the answer to the proof. The
+/// clock of another incarnation may show anything.
 bool is_proved_answer(const runner_order_ended& e, const runner_record& r)
 {
     return e.kind == order_kind::start && e.result == order_result::done && e.clock &&
--- a/tests/test_central_incarnations.cpp
+++ b/tests/test_central_incarnations.cpp
@@ -17,6 +17,8 @@
 constexpr millis until_leases_have_expired{14'000};
 constexpr std::uint64_t seeds{40};
 constexpr std::int64_t far_ahead_ms{5'000'000};
+/// What a holder counts for a lease of its own.
+constexpr millis own_lease{6'222};
 
 graph_job make_service(std::uint64_t id, std::uint32_t tasks)
 {
@@ -25,6 +27,39 @@
     return job;
 }
 
+/// Lets a service run on both runners under a clock that is far ahead, and kills its holder.
+/// \return the holder's row as a process of an earlier version would have written it.
+lease_row replace_by_earlier_version(central_world& w)
+{
+    w.runner(0).clock_origin.ms = far_ahead_ms;
+    w.run_for(warm_up);
+    const std::size_t before = *w.scheduler();
+    w.submit(before, make_service(1, 8));
+    w.run_for({300});
+    cr_assert(!w.runner(0).running.empty());
+    lease_row row = *w.state_of(before).lease.row;
+    row.foreign_leases_end_within.reset();
+    w.kill(before);
+    return row;
+}
+
+/// The other VM reads all rows again once it has the store back.
+void lose_store_briefly(central_world& w)
+{
+    w.faults.store_is_down = true;
+    w.run_for({1'500});
+    w.faults.store_is_down = false;
+}
+
+/// Gives runner 0 the longest lease that it accepts.
+void extend_foreign_lease(central_world& w, term_number term)
+{
+    runner_hold hold;
+    hold.term = term;
+    hold.lease_until = w.runner(0).clock(w.now()) + long_life;
+    w.runner(0).handle(hold, w.now());
+}
+
 } // namespace
 
 /// Users saw TWICE: an acknowledgement that was meant for the former incarnation took ends of the
@@ -169,27 +204,12 @@
 Test(central_incarnations, successor_of_an_earlier_version_counts_the_longest_lease)
 {
     central_world w{{.vms = 2, .runners = 2}};
-    w.runner(0).clock_origin.ms = far_ahead_ms;
-    w.run_for(warm_up);
-    const std::size_t before = *w.scheduler();
-    w.submit(before, make_service(1, 8));
-    w.run_for({300});
-    cr_assert(!w.runner(0).running.empty());
-    const lease_state& lease = w.state_of(before).lease;
-    lease_row earlier = *lease.row;
-    earlier.foreign_leases_end_within.reset();
-    w.kill(before);
+    lease_row earlier = replace_by_earlier_version(w);
     w.put_row({table::control, "lease"}, encode_lease(earlier));
-    // So that the other VM reads the row.
-    w.faults.store_is_down = true;
-    w.run_for({1'500});
-    w.faults.store_is_down = false;
-    runner_hold foreign;
-    foreign.term = lease.term;
+    lose_store_briefly(w);
     const instant latest = w.now() + long_life;
     while (!w.scheduler() && w.now() < latest) {
-        foreign.lease_until = w.runner(0).clock(w.now()) + long_life;
-        w.runner(0).handle(foreign, w.now());
+        extend_foreign_lease(w, earlier.term);
         w.run_for({10});
     }
     cr_assert(w.scheduler());
@@ -200,6 +220,30 @@
     expect_no_violation(w);
 }
 
+/// The same if the runner never answers the successor: it is named in the row, or the lease was
+/// released before its silence was noticed.
+Test(central_incarnations, successor_of_an_earlier_version_waits_for_a_silent_runner)
+{
+    for (const bool is_named : {true, false}) {
+        central_world w{{.vms = 2, .runners = 2}};
+        lease_row earlier = replace_by_earlier_version(w);
+        earlier.released = !is_named;
+        if (is_named) {
+            unreported_runner silent;
+            silent.runner = w.runner(0).entry.id;
+            silent.leases_end_within = own_lease;
+            earlier.handed_over->runners.push_back(silent);
+        }
+        w.put_row({table::control, "lease"}, encode_lease(earlier));
+        extend_foreign_lease(w, earlier.term);
+        w.faults.unreachable_runners.insert(0);
+        lose_store_briefly(w);
+        w.run_for(until_leases_have_expired + until_leases_have_expired);
+        cr_assert_eq(w.runner(1).running.size(), 8);
+        expect_no_violation(w);
+    }
+}
+
 /// The clock of the next incarnation may be ahead: its answer to a stop is no sign that the former
 /// one, and the task that crashed it, lived on.
 Test(central_incarnations, answer_of_an_unnoticed_incarnation_is_no_sign_of_life)
