--- a/src/central/entry.cpp
+++ b/src/central/entry/entry.cpp
@@ -1,8 +1,8 @@
 /// \file
 /// Entry-VM handling of calls from callers and peers: resolves the queue, handles the call locally
 /// or forwards it to the scheduler's VM, and answers before the deadline.
-#include "members.h"
-#include "parts.h"
+#include "central/lease/members.h"
+#include "central/parts.h"
 
 #include "absl/strings/str_cat.h"
 
--- a/src/central/jobs.cpp
+++ b/src/central/jobs/jobs.cpp
@@ -1,11 +1,11 @@
 /// \file
 /// Life cycle of a job: submission, readiness of its steps, queries, cancellation and end.
-#include "parts.h"
+#include "central/parts.h"
 
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "codec.h"
+#include "central/store/codec.h"
 
 namespace cuminmoor::central {
 
--- a/src/central/handover.cpp
+++ b/src/central/lease/handover.cpp
@@ -7,12 +7,12 @@
 /// expired. A holder of the lease grants none on the runners that its row names, nor on any runner
 /// before its first row that says so. For these, its successor waits no longer than is left of the
 /// holder's own wait.
-#include "handover.h"
+#include "central/lease/handover.h"
 
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "runs.h"
+#include "central/runs/run_parts.h"
 
 namespace cuminmoor::central {
 
--- a/src/central/handover.h
+++ b/src/central/lease/handover.h
@@ -3,7 +3,7 @@
 /// wait anew for the leases of runners that the successor cannot ask.
 #pragma once
 
-#include "parts.h"
+#include "central/parts.h"
 
 namespace cuminmoor::central {
 
--- a/src/central/lease.cpp
+++ b/src/central/lease/lease.cpp
@@ -2,7 +2,7 @@
 /// Election of the scheduler by a lease. The lease is a row of the store. Its holder renews it;
 /// another entry VM may claim it when it was released or the row has not changed for
 /// `lease_length`.
-#include "parts.h"
+#include "central/parts.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -12,9 +12,9 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
-#include "codec.h"
-#include "handover.h"
-#include "members.h"
+#include "central/lease/handover.h"
+#include "central/lease/members.h"
+#include "central/store/codec.h"
 
 namespace cuminmoor::central {
 
--- a/src/central/loading.cpp
+++ b/src/central/lease/loading.cpp
@@ -1,15 +1,15 @@
 /// \file
 /// Loads jobs, progress, used runners and the disturbance model from the store after the lease was
 /// won.
-#include "parts.h"
+#include "central/parts.h"
 
 #include <algorithm>
 #include <array>
 
 #include "absl/strings/str_cat.h"
-#include "codec.h"
-#include "handover.h"
-#include "row_parts.h"
+#include "central/lease/handover.h"
+#include "central/store/codec.h"
+#include "central/store/row_parts.h"
 
 namespace cuminmoor::central {
 
--- a/src/central/members.cpp
+++ b/src/central/lease/members.cpp
@@ -3,11 +3,11 @@
 /// insufficient capacity claims the scheduler's lease later than larger ones and hands it over to
 /// them. While it holds the lease, larger ones write their rows again to show that they live and
 /// reach the store.
-#include "members.h"
+#include "central/lease/members.h"
 
 #include <algorithm>
 
-#include "codec.h"
+#include "central/store/codec.h"
 
 namespace cuminmoor::central {
 
--- a/src/central/members.h
+++ b/src/central/lease/members.h
@@ -2,7 +2,7 @@
 /// Entry VMs of the deployment: their capacities, and which ones are alive.
 #pragma once
 
-#include "parts.h"
+#include "central/parts.h"
 
 namespace cuminmoor::central {
 
--- a/src/central/disturbance.cpp
+++ b/src/central/placement/disturbance.cpp
@@ -2,7 +2,7 @@
 /// Disturbance model (performance interference): estimates how much leftover tasks of one image
 /// raise the tail latency of services of another image on the same runner. It learns from the
 /// runners' reports.
-#include "parts.h"
+#include "central/parts.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/central/pacing.cpp
+++ b/src/central/placement/pacing.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Pacing: throttles leftover tasks so that services on the same runner meet their latency targets.
-#include "runs.h"
+#include "central/runs/run_parts.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/central/placement.cpp
+++ b/src/central/placement/placement.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Rounds in which ready tasks are placed on runners: steps in order of urgency, and rejected steps
 /// only on runners that have changed.
-#include "handover.h"
+#include "central/lease/handover.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/src/central/relocation.cpp
+++ b/src/central/placement/relocation.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Relocation: moves leftover tasks that pacing throttles to runners where they disturb no service
 /// and run at full speed. The task is stopped and placed again.
-#include "parts.h"
+#include "central/parts.h"
 
 namespace cuminmoor::central {
 
--- a/src/central/reservations.cpp
+++ b/src/central/placement/reservations.cpp
@@ -1,8 +1,8 @@
 /// \file
 /// Services that ran before and have no run: which of them may start, the room that is kept for
 /// them, and why they wait. See docs/design/services-first.md.
-#include "handover.h"
-#include "runs.h"
+#include "central/lease/handover.h"
+#include "central/runs/run_parts.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/src/central/runner_selector.cpp
+++ b/src/central/placement/runner_selector.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Selection of a runner for a task: the feasible one with the highest score, which usually has the
 /// most spare processor time.
-#include "handover.h"
+#include "central/lease/handover.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/src/central/reduce.cpp
+++ b/src/central/reduce.cpp
@@ -2,8 +2,8 @@
 /// The reducer of central scheduling: dispatches events to the components and runs their periodic
 /// checks.
 #include "absl/strings/str_cat.h"
-#include "members.h"
-#include "parts.h"
+#include "central/lease/members.h"
+#include "central/parts.h"
 
 namespace cuminmoor::central {
 
--- a/src/central/crashes.cpp
+++ b/src/central/runs/crashes.cpp
@@ -17,7 +17,7 @@
 /// counts the runs of suspects and services that were lost together with the holder before it.
 /// Services are missed soon, so they are held back briefly up to the last crash that users accept,
 /// and a successor does not begin that time anew.
-#include "runs.h"
+#include "central/runs/run_parts.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/central/restarts.cpp
+++ b/src/central/runs/restarts.cpp
@@ -4,7 +4,7 @@
 /// A service is started again however its runs end. If they end by themselves soon after their
 /// start, again and again, each further start waits longer, up to a limit at which users do not
 /// miss the service yet. A successor begins the back-off anew.
-#include "parts.h"
+#include "central/parts.h"
 
 #include <algorithm>
 
--- a/src/central/run_orders.cpp
+++ b/src/central/runs/run_orders.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Results of start, stop and pace orders, including orders without an answer.
-#include "runs.h"
+#include "central/runs/run_parts.h"
 
 #include <algorithm>
 
--- a/src/central/runs.h
+++ b/src/central/runs/run_parts.h
@@ -2,7 +2,7 @@
 /// Functions shared by the sources that manage runs.
 #pragma once
 
-#include "parts.h"
+#include "central/parts.h"
 
 namespace cuminmoor::central {
 
--- a/src/central/run_reports.cpp
+++ b/src/central/runs/run_reports.cpp
@@ -1,12 +1,12 @@
 /// \file
 /// Processing of runner reports: applies ended runs, adopts runs started in earlier terms and
 /// handles runs that are missing from a report.
-#include "handover.h"
+#include "central/lease/handover.h"
 
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "runs.h"
+#include "central/runs/run_parts.h"
 
 namespace cuminmoor::central {
 
--- a/src/central/runners.cpp
+++ b/src/central/runs/runners.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Runners: registration, holds (long polls that renew leases and return reports), lease expiry and
 /// the end of recovery after a takeover.
-#include "handover.h"
+#include "central/lease/handover.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/central/runs.cpp
+++ b/src/central/runs/runs.cpp
@@ -4,7 +4,7 @@
 /// A run counts as ended, so that its task may start elsewhere, only if the runner reported the
 /// end, the start was certainly not executed, the runner's incarnation has ended, or the lease has
 /// expired.
-#include "runs.h"
+#include "central/runs/run_parts.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/central/stops.cpp
+++ b/src/central/runs/stops.cpp
@@ -3,7 +3,7 @@
 ///
 /// An order may be lost, or executed seconds late. Stops are idempotent, so a repeat does not wait
 /// for the order before to time out.
-#include "runs.h"
+#include "central/runs/run_parts.h"
 
 #include <algorithm>
 
--- a/src/central/codec.cpp
+++ b/src/central/store/codec.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Serialization with cereal. The order and types of the fields are the format.
-#include "codec.h"
+#include "central/store/codec.h"
 
 #include <algorithm>
 #include <exception>
@@ -13,7 +13,7 @@
 #include <cereal/types/vector.hpp>
 
 #include "absl/strings/str_cat.h"
-#include "bounded_load.h"
+#include "central/store/bounded_load.h"
 #include "cuminmoor/central/peer_codec.h"
 
 // cereal finds these functions by argument-dependent lookup.
--- a/src/central/commits.cpp
+++ b/src/central/store/commits.cpp
@@ -3,13 +3,13 @@
 ///
 /// Every transaction rewrites the head row and requires its previous version. A transaction of an
 /// earlier term, or one that is executed late, therefore fails and changes nothing.
-#include "parts.h"
+#include "central/parts.h"
 
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "codec.h"
-#include "row_parts.h"
+#include "central/store/codec.h"
+#include "central/store/row_parts.h"
 
 namespace cuminmoor::central {
 
--- a/src/central/row_parts.cpp
+++ b/src/central/store/row_parts.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Splitting of values over rows, and joining of the rows.
-#include "row_parts.h"
+#include "central/store/row_parts.h"
 
 #include <algorithm>
 
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -7,8 +7,8 @@
 #include <cstdlib>
 
 #include "absl/strings/str_cat.h"
-#include "central/codec.h"
-#include "central/row_parts.h"
+#include "central/store/codec.h"
+#include "central/store/row_parts.h"
 
 namespace cuminmoor::central::test {
 
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
-#include "central/codec.h"
+#include "central/store/codec.h"
 #include "cuminmoor/central/state.h"
 #include "fake_runner.h"
 
--- a/tests/central/disturbance_bench.h
+++ b/tests/central/disturbance_bench.h
@@ -4,7 +4,7 @@
 
 #include <string>
 
-#include "../src/central/parts.h"
+#include "central/parts.h"
 
 namespace cuminmoor::central::test {
 
--- a/tests/fuzz/fuzz_central.cpp
+++ b/tests/fuzz/fuzz_central.cpp
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <string>
 
-#include "central/codec.h"
+#include "central/store/codec.h"
 #include "cuminmoor/central/peer_codec.h"
 #include "wire.h"
 
--- a/tests/test_central_codec.cpp
+++ b/tests/test_central_codec.cpp
@@ -10,7 +10,7 @@
 #include <criterion/criterion.h>
 #include <sys/resource.h>
 
-#include "central/codec.h"
+#include "central/store/codec.h"
 #include "cuminmoor/central/peer_codec.h"
 #include "wire.h"
 
--- a/tests/test_central_crashes.cpp
+++ b/tests/test_central_crashes.cpp
@@ -6,8 +6,8 @@
 
 #include <criterion/criterion.h>
 
-#include "central/codec.h"
 #include "central/expectations.h"
+#include "central/store/codec.h"
 
 using namespace cuminmoor;
 using namespace cuminmoor::central;
--- a/tests/test_central_disturbance.cpp
+++ b/tests/test_central_disturbance.cpp
@@ -2,8 +2,8 @@
 /// Tests of the disturbance model, its stored row, and pacing of antagonists.
 #include <criterion/criterion.h>
 
-#include "../src/central/codec.h"
 #include "central/disturbance_bench.h"
+#include "central/store/codec.h"
 
 using namespace cuminmoor::central;
 using namespace cuminmoor::central::test;
--- a/tests/test_central_exiting_services.cpp
+++ b/tests/test_central_exiting_services.cpp
@@ -5,9 +5,9 @@
 
 #include <criterion/criterion.h>
 
-#include "central/codec.h"
 #include "central/expectations.h"
 #include "central/parts.h"
+#include "central/store/codec.h"
 
 using namespace cuminmoor;
 using namespace cuminmoor::central;
--- a/tests/test_central_incarnations.cpp
+++ b/tests/test_central_incarnations.cpp
@@ -3,8 +3,8 @@
 /// incarnation, and leases are on the clock of the former one.
 #include <criterion/criterion.h>
 
-#include "central/codec.h"
 #include "central/expectations.h"
+#include "central/store/codec.h"
 
 using namespace cuminmoor;
 using namespace cuminmoor::central;
--- a/tests/test_central_large_jobs.cpp
+++ b/tests/test_central_large_jobs.cpp
@@ -7,9 +7,9 @@
 
 #include <criterion/criterion.h>
 
-#include "central/codec.h"
 #include "central/expectations.h"
-#include "central/row_parts.h"
+#include "central/store/codec.h"
+#include "central/store/row_parts.h"
 
 using namespace cuminmoor;
 using namespace cuminmoor::central;
