Settings for decisions under load; expected run times have a place

Change: scheduling_options, one flag and variable each, all off; the simulated entry VMs take them. expected_run_time is the owner's estimate so far.

--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -46,6 +46,7 @@
     initial.self.max_hold = s.max_hold;
     initial.self.keep_ended = s.keep_ended;
     initial.self.capacity = s.capacity;
+    initial.self.options = s.options;
     return initial;
 }
 
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -55,6 +55,14 @@
     setting{"core-share", "1",
             "central: processor share of this VM in cores, fractions allowed, above 0 to 1024"},
     setting{"link-mbit", "1000", "central: bandwidth of this VM's link in Mbit/s, above 0"},
+    setting{"deadline-admission", "off",
+            "central: on or off: refuse jobs that cannot end by their deadline"},
+    setting{"preemption", "off",
+            "central: on or off: let urgent tasks that fit nowhere stop less urgent ones"},
+    setting{"run-time-correction", "off",
+            "central: on or off: correct estimated run times by the ends that were seen"},
+    setting{"lookahead", "off",
+            "central: on or off: keep room for the first large task that waits"},
 };
 
 const char* name_of(log_level level)
@@ -181,6 +189,15 @@
         return text == "central" ? scheduling_mode::central : scheduling_mode::domains;
     }
 
+    bool flag(const setting& s)
+    {
+        const std::string text = value(s);
+        if (text != "on" && text != "off") {
+            add_error(std::string{"--"} + s.name + ": \"" + text + "\" must be on or off");
+        }
+        return text == "on";
+    }
+
     log_level level(const setting& s)
     {
         const std::string text = value(s);
@@ -215,7 +232,8 @@
     settings s;
     s.mode = mode;
     const auto& [vm, fd, http, peer, platform, threads, level, scheduling, readiness, max_hold,
-                 keep_ended, core_share, link_mbit] = setting_list;
+                 keep_ended, core_share, link_mbit, admission, preemption, correction, lookahead] =
+        setting_list;
     s.vm.value = reader.name(vm);
     s.failure_domain.value = reader.name(fd);
     s.http = reader.address(http);
@@ -232,6 +250,10 @@
     s.keep_ended = {reader.number(keep_ended, max_keep_ended_s) * ms_per_second};
     s.capacity.milli_cores = reader.thousandths(core_share, max_core_share);
     s.capacity.link_kbit_per_s = reader.thousandths(link_mbit, max_link_mbit);
+    s.options.deadline_admission = reader.flag(admission);
+    s.options.preemption = reader.flag(preemption);
+    s.options.run_time_correction = reader.flag(correction);
+    s.options.lookahead = reader.flag(lookahead);
     if (!reader.errors().empty()) {
         return absl::InvalidArgumentError(reader.errors());
     }
@@ -274,6 +296,7 @@
 
 std::string format_settings(const settings& s)
 {
+    const auto on_or_off = [](bool is_on) { return is_on ? "on" : "off"; };
     std::ostringstream out;
     out << "vm=" << s.vm.value << "\nfailure-domain=" << s.failure_domain.value
         << "\nhttp-address=" << to_string(s.http) << "\npeer-address=" << to_string(s.peer)
@@ -285,7 +308,11 @@
             << "\nkeep-ended-s=" << s.keep_ended.count / ms_per_second
             << "\ncore-share=" << static_cast<double>(s.capacity.milli_cores) / thousandths_per_unit
             << "\nlink-mbit="
-            << static_cast<double>(s.capacity.link_kbit_per_s) / thousandths_per_unit << "\n";
+            << static_cast<double>(s.capacity.link_kbit_per_s) / thousandths_per_unit
+            << "\ndeadline-admission=" << on_or_off(s.options.deadline_admission)
+            << "\npreemption=" << on_or_off(s.options.preemption)
+            << "\nrun-time-correction=" << on_or_off(s.options.run_time_correction)
+            << "\nlookahead=" << on_or_off(s.options.lookahead) << "\n";
     }
     return out.str();
 }
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -9,6 +9,7 @@
 #include "absl/status/statusor.h"
 #include "address.h"
 #include "cuminmoor/central/event.h"
+#include "cuminmoor/central/options.h"
 #include "cuminmoor/clock.h"
 #include "cuminmoor/ids.h"
 #include "logging.h"
@@ -42,6 +43,7 @@
     millis keep_ended{120'000};
     /// Capacity of this VM, announced to the other entry VMs.
     central::vm_capacity capacity;
+    central::scheduling_options options;
 };
 
 /// Parses flags; settings without a flag are read from environment variables.
--- /dev/null
+++ b/include/cuminmoor/central/options.h
@@ -0,0 +1,20 @@
+/// \file
+/// Decisions of central scheduling that a deployment switches on by its settings.
+#pragma once
+
+namespace cuminmoor::central {
+
+/// All are off unless the settings name them.
+struct scheduling_options {
+    /// Submissions that cannot end by their deadline, given what was accepted before, are refused.
+    bool deadline_admission{false};
+    /// Urgent tasks that fit nowhere may stop less urgent ones.
+    bool preemption{false};
+    /// Run times that owners estimate are corrected by the ends that were seen.
+    bool run_time_correction{false};
+    /// Room is kept for the first large task that waits; small ones that end before it fill the
+    /// gap.
+    bool lookahead{false};
+};
+
+} // namespace cuminmoor::central
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -22,6 +22,7 @@
 #include "cuminmoor/central/event.h"
 #include "cuminmoor/central/graph_job.h"
 #include "cuminmoor/central/manifest.h"
+#include "cuminmoor/central/options.h"
 #include "cuminmoor/central/page_size.h"
 
 namespace cuminmoor::central {
@@ -39,6 +40,7 @@
     /// Minimum time for which an ended job can be queried.
     millis keep_ended{120'000};
     vm_capacity capacity;
+    scheduling_options options;
 };
 
 /// Number of an image in `scheduler_state::images`.
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -14,6 +14,7 @@
 #include "central/placement/placement.h"
 #include "central/placement/relocation.h"
 #include "central/placement/reservations.h"
+#include "central/placement/run_times.h"
 #include "central/placement/runner_selector.h"
 #include "central/runs/crashes.h"
 #include "central/runs/restarts.h"
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -128,6 +128,7 @@
     v.state.self.failure_domain.value = "fd0";
     v.state.self.address = address_of(vm);
     v.state.self.incarnation = random_();
+    v.state.self.options = options_.scheduling;
     if (vm < options_.capacities.size()) {
         v.state.self.capacity = options_.capacities[vm];
     }
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -28,6 +28,8 @@
     bool has_any_runner_clocks{false};
     /// Capacities of the VMs by index; VMs beyond the list have none configured.
     std::vector<vm_capacity> capacities{};
+    /// Of all VMs.
+    scheduling_options scheduling{};
 };
 
 /// Injected faults of the store and of connections. May be changed at any time.
--- a/tests/test_daemon_settings.cpp
+++ b/tests/test_daemon_settings.cpp
@@ -71,6 +71,22 @@
     cr_assert(!io::parse_settings({"--check"}).ok());
 }
 
+Test(settings, decisions_of_central_scheduling_are_off_unless_switched_on)
+{
+    auto flags = valid_flags_with("--scheduling=central");
+    flags.push_back("--readiness-address=127.0.0.1:7003");
+    const auto plain = io::parse_settings(flags);
+    cr_assert(plain.ok());
+    cr_assert_not(plain->options.deadline_admission);
+    cr_assert_not(plain->options.preemption);
+    cr_assert_not(plain->options.run_time_correction);
+    cr_assert_not(plain->options.lookahead);
+    flags.push_back("--lookahead=on");
+    cr_assert(io::parse_settings(flags)->options.lookahead);
+    flags.back() = "--lookahead=yes";
+    cr_assert_not(io::parse_settings(flags).ok());
+}
+
 Test(settings, fractional_vm_capacity_is_parsed)
 {
     auto flags = valid_flags_with("--scheduling=central");
