--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -34,6 +34,8 @@
     std::optional<int> wait_for_exit(milliseconds limit);
 
     [[nodiscard]] bool is_running() const { return pid_ > 0; }
+    /// \return the process id, 0 without a process.
+    [[nodiscard]] pid_t id() const { return pid_; }
 
 private:
     /// 0: no process, or one that was waited for.
