Clients share one budget of memory and connections; limits are answered by name

Counters, gauges, a log line a second. Ruled out: a safe number of connections under RESTinio (150 on 160 MB).

--- a/daemon/central_peers.cpp
+++ b/daemon/central_peers.cpp
@@ -51,7 +51,8 @@
 absl::Status central_peers::start()
 {
     const auto& at = dependencies_.process_settings.peer;
-    auto server = start_http_server({at.ip, at.port, 1, &dependencies_.context}, *this);
+    auto server = start_http_server(
+        {at.ip, at.port, 1, &dependencies_.context, listener::peers, dependencies_.budget}, *this);
     if (!server.ok()) {
         return server.status();
     }
@@ -87,6 +88,7 @@
     http_response response;
     response.content_type = "application/octet-stream";
     response.body = std::make_shared<const std::string>(central::encode_answer(e.answer));
+    response.trusts_client = true;
     found->second(std::move(response));
     responders_.erase(found);
     return true;
--- a/daemon/central_ports.h
+++ b/daemon/central_ports.h
@@ -10,6 +10,7 @@
 #include <asio/io_context.hpp>
 
 #include "absl/status/statusor.h"
+#include "connection_budget.h"
 #include "cuminmoor/central/state.h"
 #include "http_client.h"
 #include "line_log.h"
@@ -73,6 +74,8 @@
     central_event_sink& sink;
     line_log& log;
     const settings& process_settings;
+    /// Shared by all servers; null: each has its own.
+    connection_budget* budget{nullptr};
 };
 
 /// Creates the deployment that is linked into this program.
--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -2,10 +2,13 @@
 /// Event loop around the central reducer.
 #include "central_process.h"
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 #include <utility>
 
+#include <sys/resource.h>
+
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/signal_set.hpp>
@@ -21,6 +24,7 @@
 #include "lag_report.h"
 #include "line_log.h"
 #include "quiet_loop.h"
+#include "refusal_report.h"
 #include "system_clock.h"
 
 namespace cuminmoor::io {
@@ -50,13 +54,27 @@
     return initial;
 }
 
+/// \return the limits of what clients may hold, by the settings and the limit of the system.
+budget_limits client_limits(const settings& s)
+{
+    rlimit descriptors{};
+    const bool is_known = getrlimit(RLIMIT_NOFILE, &descriptors) == 0;
+    return derive_limits(s.memory_bytes,
+                         is_known ? std::min<std::size_t>(s.max_descriptors, descriptors.rlim_cur)
+                                  : s.max_descriptors);
+}
+
 class central_loop final : public central_event_sink {
 public:
     explicit central_loop(const settings& s)
         : settings_{s}, log_{clock_, s.vm.value, s.failure_domain.value}, state_{make_state(s)},
-          http_{make_asio_http_client(context_, clock_, connections_per_address)},
-          dependencies_{context_, clock_, *http_, *this, log_, settings_},
-          peers_{dependencies_, [this] { return metrics_.render(state_, log_, clock_.now()); }},
+          budget_{client_limits(s)}, http_{make_asio_http_client(context_, clock_,
+                                                                 connections_per_address)},
+          dependencies_{context_, clock_, *http_, *this, log_, settings_, &budget_},
+          peers_{dependencies_,
+                 [this] {
+                     return metrics_.render(state_, log_, clock_.now()) + render_metrics(budget_);
+                 }},
           deployment_{make_deployment(dependencies_)}, timer_{context_}, signals_{context_, SIGTERM,
                                                                                   SIGINT, SIGHUP}
     {
@@ -148,6 +166,7 @@
             {central::name_of(lease.current_role), lease.term.value, central::name_of(e)});
         if (std::holds_alternative<central::tick>(e)) {
             record_lag(clock_.now());
+            report_refusals(clock_.now());
         }
         metrics_.record(e, clock_.now());
         const central::effects out = central::reduce(state_, e, clock_.now(), wall_time());
@@ -219,6 +238,13 @@
         });
     }
 
+    void report_refusals(instant now)
+    {
+        if (const auto fields = refusal_report_.observe(budget_, now)) {
+            log_.add("clients_refused", *fields);
+        }
+    }
+
     void record_lag(instant now)
     {
         last_lag_ = now - timer_due_at_;
@@ -254,6 +280,8 @@
     central::central_state state_;
     central_metrics metrics_;
     lag_report lag_report_;
+    connection_budget budget_;
+    refusal_report refusal_report_;
     std::unique_ptr<http_client> http_;
     deployment_dependencies dependencies_;
     central_peers peers_;
--- a/daemon/http_message.h
+++ b/daemon/http_message.h
@@ -42,6 +42,9 @@
     body_text body;
     /// Closes the connection after this answer.
     bool close{false};
+    /// The client is one of our VMs: its connection is among the last that are closed for lack of
+    /// room.
+    bool trusts_client{false};
 };
 
 /// Sends the answer of one request; to be called exactly once, from any thread.
--- a/daemon/http_server.cpp
+++ b/daemon/http_server.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// The HTTP server on RESTinio; the only file that includes it.
+/// The HTTP server on threads of its own, by RESTinio; the only file that includes it.
 #include "http_server.h"
 
 #include <atomic>
@@ -11,6 +11,7 @@
 #include <restinio/all.hpp>
 
 #include "io_limits.h"
+#include "loop_http_server.h"
 
 namespace cuminmoor::io {
 
@@ -138,7 +139,6 @@
 }
 
 using running_server = restinio::running_server_handle_t<server_traits>;
-using hosted_server = restinio::http_server_t<server_traits>;
 
 class restinio_server final : public http_server {
 public:
@@ -153,12 +153,6 @@
     void start(const http_server_options& options)
     {
         auto settings = make_settings(options);
-        if (options.context != nullptr) {
-            hosted_ = std::make_unique<hosted_server>(
-                restinio::external_io_context(*options.context), std::move(settings));
-            open_hosted(*options.context);
-            return;
-        }
         server_ = restinio::run_async<server_traits>(restinio::own_io_context(),
                                                      std::move(settings), options.threads);
     }
@@ -169,11 +163,6 @@
     [[nodiscard]] std::size_t open_connections() const override { return open_connections_; }
     void stop() override
     {
-        if (hosted_) {
-            hosted_->close_async([] {}, [](const std::exception_ptr& /*error*/) {});
-            context_->poll();
-            hosted_.reset();
-        }
         if (server_) {
             server_->stop();
             server_->wait();
@@ -182,22 +171,6 @@
     }
 
 private:
-    /// Runs the loop until the address is bound or cannot be.
-    void open_hosted(asio::io_context& context)
-    {
-        context_ = &context;
-        bool is_open{false};
-        std::exception_ptr failure;
-        hosted_->open_async([&is_open] { is_open = true; },
-                            [&failure](const std::exception_ptr& error) { failure = error; });
-        while (!is_open && !failure) {
-            context.run_one();
-        }
-        if (failure) {
-            std::rethrow_exception(failure);
-        }
-    }
-
     restinio::server_settings_t<server_traits> make_settings(const http_server_options& options)
     {
         restinio::server_settings_t<server_traits> settings;
@@ -205,7 +178,6 @@
             .port(options.port)
             .max_pipelined_requests(max_pipelined_requests)
             .max_parallel_connections(max_server_connections)
-            .concurrent_accepts_count(options.context != nullptr ? max_accepts_per_pass : 1)
             .read_next_http_message_timelimit(std::chrono::milliseconds{keep_alive_timeout.count})
             .handle_request_timeout(
                 std::chrono::milliseconds{(config::max_request_deadline * 2).count})
@@ -242,11 +214,8 @@
     std::shared_ptr<flush_counter> unflushed_{std::make_shared<flush_counter>()};
     std::atomic<std::uint16_t> port_{0};
     std::atomic<std::size_t> open_connections_{0};
-    /// One of the two is set while the server runs.
+    /// Set while the server runs.
     running_server server_;
-    std::unique_ptr<hosted_server> hosted_;
-    /// Set with `hosted_`.
-    asio::io_context* context_{nullptr};
 };
 
 } // namespace
@@ -254,6 +223,9 @@
 absl::StatusOr<std::unique_ptr<http_server>> start_http_server(const http_server_options& options,
                                                                http_handler& handler)
 {
+    if (options.context != nullptr) {
+        return start_loop_http_server(options, handler);
+    }
     auto server = std::make_unique<restinio_server>(handler);
     try {
         server->start(options);
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -10,6 +10,7 @@
 #include <asio/io_context.hpp>
 
 #include "absl/status/statusor.h"
+#include "connection_budget.h"
 #include "cuminmoor/clock.h"
 #include "http_message.h"
 
@@ -37,9 +38,13 @@
     /// 0: any free port.
     std::uint16_t port{0};
     std::size_t threads{1};
-    /// The server runs on this loop, on its owner's thread, and `threads` does not count; null: on
-    /// threads of its own.
+    /// The server runs on this loop, on its owner's thread; `threads` does not count and queries
+    /// are not read. Null: on threads of its own.
     asio::io_context* context{nullptr};
+    /// On its owner's loop: share of the budget that is used.
+    listener at{listener::callers};
+    /// Must outlive the server and what is kept of its responders; null: a budget of its own.
+    connection_budget* budget{nullptr};
 };
 
 class http_server {
--- a/daemon/io_limits.h
+++ b/daemon/io_limits.h
@@ -27,6 +27,26 @@
 /// How long after its last answer the server waits for answers that are being written.
 inline constexpr millis flush_timeout{5'000};
 
+// HTTP server on its owner's loop.
+/// Target and fields of a request together, twice what the platform's callers send.
+inline constexpr std::size_t max_head_bytes{32'768};
+/// From the first byte of a request to the end of its head, and of its body.
+inline constexpr millis head_timeout{10'000};
+inline constexpr millis body_timeout{60'000};
+/// A connection whose answers were not read for so long is closed.
+inline constexpr millis write_timeout{30'000};
+/// After a refusal the server reads on, so that closing does not reset the connection before the
+/// client has seen the answer.
+inline constexpr millis linger_time{1'000};
+inline constexpr std::size_t max_discarded_bytes{config::max_body_bytes};
+/// Bytes that count as progress of a client.
+inline constexpr std::size_t useful_bytes{1'024};
+/// What a call takes beside its text until it is answered.
+inline constexpr std::size_t call_bytes{4'096};
+inline constexpr int receive_buffer_bytes{65'536};
+inline constexpr millis accept_retry_time{50};
+inline constexpr millis sweep_period{1'000};
+
 // Admission.
 /// Requests that are open at once; more are refused by the traffic threads, so that a flood costs
 /// the control thread nothing. Above what the queue and the slots of a failure domain hold.
@@ -70,5 +90,7 @@
 /// A timer that is later than this is reported, at most once in `lag_report_period`.
 inline constexpr millis min_reported_lag{100};
 inline constexpr millis lag_report_period{1'000};
+/// Refused clients are reported at most once in this time.
+inline constexpr millis refusal_report_period{1'000};
 
 } // namespace cuminmoor::io
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -29,6 +29,10 @@
 constexpr std::int64_t max_keep_ended_s{604'800};
 constexpr double thousandths_per_unit{1'000};
 constexpr double max_core_share{1'024};
+constexpr std::int64_t min_memory_mb{32};
+constexpr std::int64_t min_descriptors{256};
+constexpr std::int64_t max_size{1'048'576};
+constexpr std::size_t bytes_per_mb{1'048'576};
 constexpr double max_link_mbit{1'000'000};
 
 struct setting {
@@ -63,6 +67,11 @@
             "central: on or off: correct estimated run times by the ends that were seen"},
     setting{"lookahead", "off",
             "central: on or off: keep room for the first large task that waits"},
+    setting{"memory-mb", "256",
+            "central: memory of this process in MiB, 32 to 1048576; clients may hold a quarter"},
+    setting{"max-descriptors", "4096",
+            "central: descriptors that this process may open, 256 to 1048576; clients may use half "
+            "of them"},
 };
 
 const char* name_of(log_level level)
@@ -166,6 +175,17 @@
         return count;
     }
 
+    /// \return a number from `least` to `max_size`.
+    std::size_t size(const setting& s, std::int64_t least)
+    {
+        const std::int64_t count = number(s, max_size);
+        if (count > 0 && count < least) {
+            add_error(std::string{"--"} + s.name + ": \"" + value(s) + "\" must be at least " +
+                      std::to_string(least));
+        }
+        return static_cast<std::size_t>(std::max(count, least));
+    }
+
     /// \return a number above 0 and at most `limit`, in thousandths.
     std::int64_t thousandths(const setting& s, double limit)
     {
@@ -232,8 +252,8 @@
     settings s;
     s.mode = mode;
     const auto& [vm, fd, http, peer, platform, threads, level, scheduling, readiness, max_hold,
-                 keep_ended, core_share, link_mbit, admission, preemption, correction, lookahead] =
-        setting_list;
+                 keep_ended, core_share, link_mbit, admission, preemption, correction, lookahead,
+                 memory, descriptors] = setting_list;
     s.vm.value = reader.name(vm);
     s.failure_domain.value = reader.name(fd);
     s.http = reader.address(http);
@@ -254,6 +274,8 @@
     s.options.preemption = reader.flag(preemption);
     s.options.run_time_correction = reader.flag(correction);
     s.options.lookahead = reader.flag(lookahead);
+    s.memory_bytes = reader.size(memory, min_memory_mb) * bytes_per_mb;
+    s.max_descriptors = reader.size(descriptors, min_descriptors);
     if (!reader.errors().empty()) {
         return absl::InvalidArgumentError(reader.errors());
     }
@@ -312,7 +334,9 @@
             << "\ndeadline-admission=" << on_or_off(s.options.deadline_admission)
             << "\npreemption=" << on_or_off(s.options.preemption)
             << "\nrun-time-correction=" << on_or_off(s.options.run_time_correction)
-            << "\nlookahead=" << on_or_off(s.options.lookahead) << "\n";
+            << "\nlookahead=" << on_or_off(s.options.lookahead)
+            << "\nmemory-mb=" << s.memory_bytes / bytes_per_mb
+            << "\nmax-descriptors=" << s.max_descriptors << "\n";
     }
     return out.str();
 }
--- a/tests/crowd/victim.cpp
+++ b/tests/crowd/victim.cpp
@@ -25,7 +25,7 @@
 
 std::string prepare_folder(const std::string& name)
 {
-    const std::string folder = std::string{CROWD_LOG_FOLDER} + "/" + name;
+    std::string folder = std::string{CROWD_LOG_FOLDER} + "/" + name;
     std::filesystem::remove_all(folder);
     std::filesystem::create_directories(folder);
     return folder;
