--- a/tests/fuzz.cmake
+++ b/tests/fuzz.cmake
@@ -8,7 +8,8 @@
   CMAKE_ARGS -DCMAKE_C_COMPILER=clang -DCMAKE_CXX_COMPILER=clang++
   BUILD_ALWAYS ON
   INSTALL_COMMAND "")
-foreach(name fuzz_datagram fuzz_command fuzz_worker_report fuzz_platform fuzz_central)
+foreach(name fuzz_datagram fuzz_command fuzz_worker_report fuzz_platform fuzz_central
+        fuzz_requests)
   set(fuzz_flags -runs=20000 -seed=1 -max_len=9000)
   file(GLOB seeds fuzz/corpus/${name}/*)
   if(seeds)
