Soak: unruly clients crowd one VM after the other

They hold bodies and heads open at callers, readiness and peer addresses, more than a VM lets its clients hold.

--- a/tests/crowd/crowd.h
+++ b/tests/crowd/crowd.h
@@ -2,16 +2,16 @@
 /// A crowd of clients that don't behave: many loopback connections, driven by one thread.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
 
-#include "child_process.h"
-
 namespace crowd {
 
-using process_test::milliseconds;
+using std::chrono::milliseconds;
 
 /// How each client of a crowd behaves.
 struct client_behaviour {
--- a/tests/soak/play.cpp
+++ b/tests/soak/play.cpp
@@ -9,6 +9,7 @@
 
 #include "clients.h"
 #include "restart_runner.h"
+#include "unruly_clients.h"
 
 namespace soak {
 
@@ -79,7 +80,9 @@
     started_at_ = review::now_ms();
     world_.log().add("soak starts at " + std::to_string(started_at_));
     client_group clients{world_, vm_count_, batch_queue(), seed_};
+    unruly_clients crowds{world_, vm_count_, seed_};
     carry_out_plan();
+    crowds.stop();
     clients.stop();
     clients.report(seen_);
     supervisor_->tick();
