Calls of our own VMs are not refused for lack of room

Cause: a forwarded submission that is refused leaves its caller without a certain answer. Test red without the change: call_of_an_own_vm_is_taken_without_room.

--- a/daemon/loop_http_connection.cpp
+++ b/daemon/loop_http_connection.cpp
@@ -163,7 +163,7 @@
     request.connection = number_;
     auto call = group_.budget.hold_call(group_.at, call_bytes + 2 * held);
     update_budget();
-    if (!group_.make_room(number_)) {
+    if (!group_.make_room(number_) && !is_trusted_) {
         call.reset();
         refuse(http_unavailable, client_limit::memory);
         return;
@@ -185,6 +185,9 @@
 
 void loop_http_connection::end_for_lack_of_room()
 {
+    if (is_trusted_) {
+        return;
+    }
     if (!parser_.is_idle()) {
         refuse(http_unavailable, client_limit::memory);
     }
@@ -230,6 +233,7 @@
     s.body = response.body;
     ++group_.unflushed;
     if (response.trusts_client) {
+        is_trusted_ = true;
         group_.budget.trust(number_);
     }
     write_answers();
--- a/daemon/loop_http_connection.h
+++ b/daemon/loop_http_connection.h
@@ -114,6 +114,8 @@
     bool is_input_over_{false};
     /// A refusal is written, and the client gets time to read it.
     bool is_lingering_{false};
+    /// Its client is one of our VMs: its calls are not refused for lack of room.
+    bool is_trusted_{false};
 };
 
 } // namespace cuminmoor::io
--- a/tests/test_daemon_http_limits.cpp
+++ b/tests/test_daemon_http_limits.cpp
@@ -137,6 +137,20 @@
     cr_assert(f.handler.paths.empty());
 }
 
+Test(http_limits, call_of_an_own_vm_is_taken_without_room)
+{
+    fixture f;
+    auto socket = f.connect();
+    f.send(socket, head + "Content-Length: 2\r\n\r\n{}");
+    io::http_response known;
+    known.trusts_client = true;
+    f.handler.responders.at(0)(known);
+    f.run();
+    auto waiting = f.budget.hold_call(io::listener::callers, 9 * mib);
+    f.send(socket, head + "Content-Length: 2\r\n\r\n{}");
+    cr_assert_eq(f.handler.paths.size(), 2);
+}
+
 Test(http_limits, only_some_requests_are_read_ahead_and_answers_keep_their_order)
 {
     fixture f;
