--- a/daemon/central_ports.h
+++ b/daemon/central_ports.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include <asio/io_context.hpp>
 
@@ -32,6 +33,10 @@
     virtual central::call_handle next_handle() = 0;
     /// \return true while this VM accepts calls; the load balancer asks for it.
     [[nodiscard]] virtual bool is_ready() const = 0;
+    /// \return false if a call to that address with that credential is refused whatever its body
+    /// is.
+    [[nodiscard]] virtual bool may_call(std::string_view host, std::string_view path,
+                                        const central::credential& key) const = 0;
     /// \return true once a shutdown was requested.
     [[nodiscard]] virtual bool is_stopping() const = 0;
 };
--- a/daemon/central_process.cpp
+++ b/daemon/central_process.cpp
@@ -111,6 +111,11 @@
     }
 
     [[nodiscard]] bool is_ready() const override { return central::is_ready(state_); }
+    [[nodiscard]] bool may_call(std::string_view host, std::string_view path,
+                                const central::credential& key) const override
+    {
+        return central::check_caller(state_, host, path, key) == central::call_result::accepted;
+    }
     [[nodiscard]] bool is_stopping() const override { return state_.stopping; }
 
 private:
--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -299,6 +299,13 @@
 inline constexpr millis retry_after{1'000};
 inline constexpr std::uint64_t retry_after_steps{2};
 
+// Organisations.
+/// Lower weights count as this.
+inline constexpr double min_organisation_weight{0.001};
+/// Interval at which a new holder counts anew what may run unreported.
+inline constexpr millis unreported_count_period{100};
+inline constexpr millis quota_wait_log_period{1'000};
+
 // Shutdown.
 /// Calls are still served for this long after the shutdown was requested.
 inline constexpr millis drain_time{4'000};
--- a/include/cuminmoor/central/event.h
+++ b/include/cuminmoor/central/event.h
@@ -44,6 +44,8 @@
     job_id job;
     /// Set for `submit`.
     std::optional<graph_job> submitted;
+    /// Whose credential the call had; empty: none.
+    organisation_id organisation;
     /// The VM that forwarded the call; empty if none did.
     vm_id forwarded_by;
 };
@@ -66,6 +68,8 @@
     outcome_unknown,
     /// From a peer only: the peer does not hold the lease and has not accepted the call.
     not_scheduler,
+    /// The queue requires a credential of an organisation.
+    unauthenticated,
 };
 
 struct call_answer {
@@ -88,6 +92,10 @@
     std::optional<graph_job> submitted;
     /// Time from now after which the caller gives up.
     millis timeout;
+    /// Empty if the request had none.
+    credential key{};
+    /// The body was not parsed, as `check_caller` refused the call.
+    bool is_body_unread{false};
 };
 
 /// Event: a peer has forwarded a call.
--- a/include/cuminmoor/central/graph_job.h
+++ b/include/cuminmoor/central/graph_job.h
@@ -15,6 +15,7 @@
 namespace cuminmoor::central {
 
 using queue_id = string_id<struct queue_tag>;
+using organisation_id = string_id<struct organisation_tag>;
 /// One incarnation of a backend server.
 using runner_id = string_id<struct runner_tag>;
 /// Number of a run, which is one start of a task; later runs have higher numbers.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
@@ -213,6 +214,8 @@
     std::vector<image_number> images;
     /// Settings of the job's queue, as last read from the manifest.
     queue queue_settings;
+    /// The organisation that submitted it, as it was in the manifest then; no name: none.
+    organisation owner;
     std::vector<occurrence_record> occurrences;
     std::uint32_t unfinished_occurrences{0};
     /// Most occurrences that may be unfinished at a time after their start, see
@@ -254,6 +257,27 @@
     std::size_t operator()(const job_id& id) const { return std::hash<std::string>{}(id.value); }
 };
 
+/// What an organisation with jobs may have running, and what it has; see quota.cpp.
+struct organisation_use {
+    /// From the newest known manifest; if that does not list it any more, from the last that did or
+    /// from its oldest job.
+    organisation settings;
+    /// Reserved by its runs until they have certainly ended.
+    resources running;
+    /// Upper bound of what its runs of earlier terms reserve that no runner has reported.
+    resources unreported;
+    /// Starts that had to wait for the quota since the lease was won, and when one was logged last.
+    std::uint64_t quota_waits{0};
+    std::optional<instant> wait_logged_at;
+};
+
+struct organisation_hash {
+    std::size_t operator()(const organisation_id& id) const
+    {
+        return std::hash<std::string>{}(id.value);
+    }
+};
+
 /// Key of a step with ready tasks; sorts in the order in which placement serves steps.
 struct ready_key {
     std::int32_t priority{0};
@@ -689,6 +713,10 @@
     instant service_wait_logged_at;
     /// Number of jobs in each queue of which no task has started yet.
     std::map<queue_id, std::uint64_t> pending;
+    /// Contains the owner of each job that is not forgotten.
+    std::unordered_map<organisation_id, organisation_use, organisation_hash> organisations;
+    /// When `organisation_use::unreported` is counted next; `never` after the recovery.
+    instant next_unreported_count_at;
     commit_state commits;
     loading_state loading;
     disturbance_model learned_disturbance;
@@ -800,6 +828,11 @@
 /// shutting down, and has a scheduler or the means to learn of one.
 bool is_ready(const central_state& s);
 
+/// \return what a call to that address with that credential may get: `accepted`, or why it is
+/// refused whatever its body is.
+call_result check_caller(const central_state& s, std::string_view host, std::string_view path,
+                         const credential& key);
+
 /// Applies one event.
 /// \param wall wall-clock time since the epoch; used for schedules and stored submission times.
 /// \return the effects, in the order of execution.
--- a/src/central/entry/entry.cpp
+++ b/src/central/entry/entry.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Entry-VM handling of calls from callers and peers: resolves the queue, handles the call locally
 /// or forwards it to the scheduler's VM, and answers before the deadline.
+#include "central/entry/credentials.h"
 #include "central/lease/members.h"
 #include "central/parts.h"
 
@@ -176,6 +177,7 @@
     std::vector<log_field> fields{{"job", call.call.job.value},
                                   {"call", std::string{name_of(call.call.kind)}},
                                   {"queue", call.call.queue.value},
+                                  {"organisation", call.call.organisation.value},
                                   {"manifest", absl::StrCat(call.call.manifest_version)},
                                   {"result", std::string{name_of(a.result)}},
                                   {"retry_after_ms", absl::StrCat(a.retry_after.count)},
@@ -199,7 +201,7 @@
 bool is_refusal(call_result result)
 {
     return result == call_result::unavailable || result == call_result::overloaded ||
-           result == call_result::unknown_queue;
+           result == call_result::unknown_queue || result == call_result::unauthenticated;
 }
 
 /// \return `outcome_unknown` if the answer refuses a job that an earlier attempt may have
@@ -255,13 +257,21 @@
         return call_result::unavailable;
     }
     const manifest& m = c.s.operators.newest;
-    const queue* const q = find_queue(m, e.host, e.path);
-    if (q == nullptr) {
-        return call_result::unknown_queue;
-    }
-    call.queue = q->name;
+    const caller_check check = check_caller(m, e.host, e.path, e.key);
     call.manifest_version = m.version;
-    const std::string rest = e.path.substr(q->path_prefix.size());
+    if (check.found == nullptr) {
+        return check.result;
+    }
+    call.queue = check.found->name;
+    if (check.result != call_result::accepted) {
+        return check.result;
+    }
+    if (e.is_body_unread) {
+        // It was refused by the manifest that was in force when it was read.
+        return call_result::unavailable;
+    }
+    call.organisation = check.organisation;
+    const std::string rest = e.path.substr(check.found->path_prefix.size());
     if (e.kind == call_kind::query && rest.empty()) {
         call.kind = call_kind::count_pending;
         return call_result::accepted;
@@ -275,6 +285,13 @@
 
 } // namespace
 
+call_result check_caller(const central_state& s, std::string_view host, std::string_view path,
+                         const credential& key)
+{
+    return s.manifest_read ? check_caller(s.operators.newest, host, path, key).result
+                           : call_result::unavailable;
+}
+
 bool is_ready(const central_state& s)
 {
     const bool finds_scheduler =
--- a/src/central/entry/manifest.cpp
+++ b/src/central/entry/manifest.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Queue lookup.
+/// Lookup of queues and organisations.
 #include "cuminmoor/central/manifest.h"
 
 #include <algorithm>
@@ -25,4 +25,15 @@
     return found == m.queues.end() ? nullptr : &*found;
 }
 
+const organisation* find_organisation(const manifest& m, const organisation_id& name)
+{
+    if (!m.organisations) {
+        return nullptr;
+    }
+    const auto found =
+        std::find_if(m.organisations->begin(), m.organisations->end(),
+                     [&name](const organisation& each) { return each.name == name; });
+    return found == m.organisations->end() ? nullptr : &*found;
+}
+
 } // namespace cuminmoor::central
--- a/src/central/jobs/jobs.cpp
+++ b/src/central/jobs/jobs.cpp
@@ -111,6 +111,20 @@
     return job.stored != stored_part::nothing && job.published_state != job_state::withdrawn;
 }
 
+/// \return why the submission's organisation may not submit here, or `accepted`.
+call_result check_owner(const context& c, const job_call& call)
+{
+    const manifest& newest = c.s.operators.newest;
+    const bool is_known = call.organisation.empty() || !newest.organisations ||
+                          find_organisation(newest, call.organisation) != nullptr;
+    if (is_known) {
+        return call_result::accepted;
+    }
+    // The VM that received it may know a newer manifest, or an older one.
+    return call.manifest_version > newest.version ? call_result::unavailable
+                                                  : call_result::unauthenticated;
+}
+
 void submit(const context& c, call_handle handle, const job_call& call)
 {
     scheduler_state& s = c.s.scheduler;
@@ -131,6 +145,10 @@
         answer(c, handle, {.result = call_result::unavailable, .retry_after = config::retry_after});
         return;
     }
+    if (const call_result allowed = check_owner(c, call); allowed != call_result::accepted) {
+        answer(c, handle, {.result = allowed, .retry_after = config::retry_after});
+        return;
+    }
     if (is_withdrawn) {
         accept_withdrawn(c, handle, known->second);
         return;
@@ -140,8 +158,10 @@
         answer(c, handle, {.result = call_result::malformed});
         return;
     }
+    job.owner = owner_of(c, call.organisation);
     job.submitters.push_back(handle);
     auto& added = s.jobs.emplace(call.job, std::move(job)).first->second;
+    add_owner(c, added);
     ++s.pending[added.spec.queue];
     mark_changed(c, added);
 }
--- a/src/central/lease/loading.cpp
+++ b/src/central/lease/loading.cpp
@@ -123,6 +123,7 @@
 {
     const millis age = std::max(millis{0}, c.wall_time - stored.submitted_at);
     job_record job = make_job(stored.spec, stored.queue_settings, c.now - age);
+    job.owner = stored.owner;
     job.stored = stored_part::job;
     job.recovered = true;
     // A process of an earlier version may have accepted it.
@@ -240,6 +241,7 @@
     if (job.state == job_state::queued) {
         ++c.s.scheduler.pending[job.spec.queue];
     }
+    add_owner(c, job);
     assign_image_numbers(c, job);
     mark_ready_steps(c, job);
     start_due_occurrences(c, job);
--- a/src/central/names.cpp
+++ b/src/central/names.cpp
@@ -44,6 +44,8 @@
         return "outcome_unknown";
     case call_result::not_scheduler:
         return "not_scheduler";
+    case call_result::unauthenticated:
+        return "unauthenticated";
     }
     return "";
 }
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -1,7 +1,8 @@
 /// \file
 /// Interfaces between the components of the central scheduler, one header for each source file. A
-/// job goes from `entry` to `jobs`, is stored by `store`, placed by `placement`, and started and
-/// stopped by `runs`; `lease` decides which VM does that.
+/// job goes from `entry` to `jobs`, is stored by `store`, placed by `placement` within the quota
+/// that `organisations` counts, and started and stopped by `runs`; `lease` decides which VM does
+/// that.
 #pragma once
 
 #include "central/context.h"
@@ -9,6 +10,7 @@
 #include "central/jobs/jobs.h"
 #include "central/lease/lease.h"
 #include "central/lease/loading.h"
+#include "central/organisations/quota.h"
 #include "central/placement/disturbance.h"
 #include "central/placement/pacing.h"
 #include "central/placement/placement.h"
--- a/src/central/placement/placement.cpp
+++ b/src/central/placement/placement.cpp
@@ -290,6 +290,9 @@
         return;
     }
     const std::size_t members = first.progress->tasks.size();
+    if (!is_within_quota(c, first, members)) {
+        return;
+    }
     const std::size_t bound = max_members(round, first, id);
     if (bound < members) {
         reject_gang(round, first, bound);
@@ -344,6 +347,9 @@
     for (id.index = 0; id.index < tasks.size(); ++id.index) {
         const bool is_ready = tasks[id.index].status == task_status::ready &&
                               !round.c.s.scheduler.waiting_services.contains(id);
+        if (is_ready && !is_within_quota(round.c, first)) {
+            return;
+        }
         if (is_ready && !place_task(round, id)) {
             start_if_starved(round, id, *first.job);
             return;
@@ -359,6 +365,9 @@
     std::vector<graph_task_id> rejected;
     for (const graph_task_id& id : startable_services(c)) {
         const task_ref ref = find_task(c.s, id);
+        if (!is_within_quota(c, ref)) {
+            continue;
+        }
         std::uint64_t& rejected_in = ref.progress->services_rejected_in;
         // If no runner is feasible for another task of the step, none is for this one.
         const bool is_rejected = rejected_in == pass.number;
@@ -435,6 +444,7 @@
     if (!c.is_scheduler() || !may_send_orders(c) || c.s.lease.releasing) {
         return;
     }
+    count_unreported_runs(c);
     place_waiting_services(c);
     // What is free is theirs first.
     if (!s.placement_due || s.services_due) {
--- a/src/central/placement/reservations.cpp
+++ b/src/central/placement/reservations.cpp
@@ -214,6 +214,9 @@
     if (awaits_restart(c, ref)) {
         return "short_runs";
     }
+    if (!is_within_quota(c, ref)) {
+        return "quota";
+    }
     return is_held_back(c, id, ref) ? "crashes" : "none";
 }
 
--- a/src/central/reduce.cpp
+++ b/src/central/reduce.cpp
@@ -20,9 +20,11 @@
 {
     operator_configuration& known = c.s.operators;
     if (e.view.newest.version > known.newest.version) {
-        c.log("manifest_in_force", {{"from", absl::StrCat(known.newest.version)},
-                                    {"to", absl::StrCat(e.view.newest.version)},
-                                    {"queues", absl::StrCat(e.view.newest.queues.size())}});
+        c.log("manifest_in_force",
+              {{"from", absl::StrCat(known.newest.version)},
+               {"to", absl::StrCat(e.view.newest.version)},
+               {"queues", absl::StrCat(e.view.newest.queues.size())},
+               {"credentials", absl::StrCat(e.view.newest.credentials.size())}});
         known.newest = e.view.newest;
         c.s.manifest_read = true;
         for (auto& [id, job] : c.s.scheduler.jobs) {
@@ -32,6 +34,7 @@
                 job.queue_settings.max_attempts = q->max_attempts;
             }
         }
+        refresh_organisations(c);
         for (auto& [id, r] : c.s.scheduler.runners) {
             r.offer_again();
         }
--- a/src/central/runs/run_reports.cpp
+++ b/src/central/runs/run_reports.cpp
@@ -134,7 +134,7 @@
     adopted.has_survived_start =
         ref.step->is_service ? ref.task->has_survived_there : !ref.task->crashes.is_suspect;
     ref.task->last_run = std::max(ref.task->last_run, reported.run);
-    attach_run(ref, r, reported.task, adopted);
+    attach_run(c, ref, r, reported.task, adopted);
     // Nobody can tell how long services have missed their targets beside it.
     r.targets_met_at.reset();
     mark_job_started(c, *ref.job);
--- a/src/central/runs/runs.cpp
+++ b/src/central/runs/runs.cpp
@@ -221,9 +221,11 @@
     r.is_offered_to_services = false;
 }
 
-void attach_run(const task_ref& ref, runner_record& r, const graph_task_id& id, const run& started)
+void attach_run(const context& c, const task_ref& ref, runner_record& r, const graph_task_id& id,
+                const run& started)
 {
     ref.task->current_run = started;
+    add_to_use(c, ref);
     ++ref.job->active_runs;
     const bool was_shared = hosts_services_and_leftover(r);
     reserve_for_run(r, ref, id);
@@ -257,6 +259,7 @@
         ref.task->without_run_since = c.now;
     }
     ref.task->current_run.reset();
+    remove_from_use(c, ref);
     forget_place(c, ref);
     end_suspect_run(c, ref);
     if (--ref.job->active_runs == 0) {
@@ -277,7 +280,7 @@
     started.ordered_at = c.now;
     started.awaits_store = ref.step->is_service;
     started.is_isolated = ref.task->crashes.is_suspect;
-    attach_run(ref, r, id, started);
+    attach_run(c, ref, r, id, started);
     ref.task->is_reconciled = true;
     if (started.awaits_store) {
         // Also if it was there before: that is known to be stored only after this change.
--- a/src/central/runs/runs.h
+++ b/src/central/runs/runs.h
@@ -18,7 +18,8 @@
 /// checkpoints.
 void evict_from_draining_runner(const context& c, runner_record& r);
 /// Makes a run the task's current run and reserves its resources on the runner.
-void attach_run(const task_ref& ref, runner_record& r, const graph_task_id& id, const run& started);
+void attach_run(const context& c, const task_ref& ref, runner_record& r, const graph_task_id& id,
+                const run& started);
 /// Removes the task's current run and its reservation.
 /// \param r null if the runner was removed.
 void detach_run(const context& c, const task_ref& ref, runner_record* r, const graph_task_id& id);
--- a/src/central/store/codec.cpp
+++ b/src/central/store/codec.cpp
@@ -80,6 +80,23 @@
     archive(c.kind, c.queue, c.manifest_version, c.job, c.submitted, c.forwarded_by);
 }
 
+/// A call of an organisation. Processes of earlier versions read the call and ignore the rest.
+struct call_with_organisation {
+    job_call call;
+};
+
+template <typename Archive>
+void serialize(Archive& archive, call_with_organisation& c)
+{
+    archive(c.call, c.call.organisation);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, organisation& o)
+{
+    archive(o.name, o.weight, o.quota);
+}
+
 /// Processes that do not know `held` read what precedes it and ignore the rest.
 template <typename Archive>
 void serialize(Archive& archive, call_answer& a)
@@ -207,6 +224,17 @@
     archive(j.spec, j.queue_settings, j.submitted_at);
 }
 
+/// A job of an organisation. Processes of earlier versions read the job and ignore the rest.
+struct job_with_owner {
+    stored_job job;
+};
+
+template <typename Archive>
+void serialize(Archive& archive, job_with_owner& j)
+{
+    archive(j.job, j.job.owner);
+}
+
 /// The current run is not stored: runners report it.
 template <typename Archive>
 void serialize(Archive& archive, task_record& t)
@@ -492,12 +520,18 @@
 
 std::string encode_job(const stored_job& job)
 {
-    return encode(job);
+    return job.owner.name.empty() ? encode(job) : encode(job_with_owner{job});
 }
 
 absl::StatusOr<stored_job> decode_stored_job(const std::string& text)
 {
     auto job = decode<stored_job>(text, "job");
+    if (auto owned = decode<job_with_owner>(text, "job"); owned.ok()) {
+        job = std::move(owned->job);
+    }
+    else if (job.ok() && encode(*job).size() != text.size()) {
+        return owned.status();
+    }
     if (job.ok()) {
         if (auto fault = check_job(job->spec); !fault.ok()) {
             return fault;
@@ -604,7 +638,7 @@
 
 std::string encode_call(const job_call& call)
 {
-    return encode(call);
+    return call.organisation.empty() ? encode(call) : encode(call_with_organisation{call});
 }
 
 absl::StatusOr<job_call> decode_call(const std::string& text)
@@ -613,6 +647,12 @@
     if (!call.ok()) {
         return call;
     }
+    if (auto owned = decode<call_with_organisation>(text, "peer call"); owned.ok()) {
+        call = std::move(owned->call);
+    }
+    else if (encode(*call).size() != text.size()) {
+        return owned.status();
+    }
     const bool is_submission = call->kind == call_kind::submit;
     if (call->kind > call_kind::count_pending || is_submission != call->submitted.has_value()) {
         return absl::InvalidArgumentError("peer call: kind and content do not match");
@@ -640,7 +680,7 @@
         }
         answer = earlier->answer;
     }
-    if (answer->result > call_result::not_scheduler || !is_job_state(answer->state)) {
+    if (answer->result > call_result::unauthenticated || !is_job_state(answer->state)) {
         return absl::InvalidArgumentError("peer answer: unknown result or state");
     }
     return answer;
--- a/src/central/store/codec.h
+++ b/src/central/store/codec.h
@@ -24,6 +24,8 @@
     queue queue_settings;
     /// Wall-clock time of the submission, since the epoch.
     millis submitted_at;
+    /// Written only if it has a name.
+    organisation owner{};
 };
 
 /// Crash counts of one task.
--- a/src/central/store/commits.cpp
+++ b/src/central/store/commits.cpp
@@ -59,7 +59,8 @@
     std::vector<row_change> changes;
     if (job.stored == stored_part::nothing && !job.has_ended()) {
         const millis submitted_at = c.wall_time - (c.now - job.submitted_at);
-        const std::string spec = encode_job({job.spec, job.queue_settings, submitted_at});
+        const std::string spec =
+            encode_job({job.spec, job.queue_settings, submitted_at, job.owner});
         append_parts(changes, spec_key, spec, job.spec_rows);
         added.spec_rows = part_count(spec);
     }
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -385,6 +385,7 @@
     }
     caller_view& view = callers_[found->second.job];
     const call_result result = e.answer.result;
+    view.last_result = result;
     if (found->second.kind == call_kind::submit) {
         record_submission_result(view, result);
     }
@@ -699,6 +700,47 @@
     });
 }
 
+resources central_world::running_of(const organisation_id& name) const
+{
+    resources sum;
+    for (const fake_runner& r : runners_) {
+        for (const auto& [task, each] : r.running) {
+            const auto owner = callers_.find(task.job.value);
+            if (owner != callers_.end() && owner->second.organisation == name) {
+                sum += each.behaviour.size;
+            }
+        }
+    }
+    return sum;
+}
+
+void central_world::check_quota(const graph_task_id& started)
+{
+    constexpr millis longest_manifest_delay{3'000};
+    const organisation_id& name = callers_[started.job.value].organisation;
+    const resources running = running_of(name);
+    const auto allows = [&](const manifest& m) {
+        const organisation* const found = find_organisation(m, name);
+        const resources quota = found == nullptr ? resources{} : found->quota;
+        const auto fits = [](std::int64_t size, std::int64_t most) {
+            return most == 0 || size <= most;
+        };
+        return fits(running.milli_cores, quota.milli_cores) &&
+               fits(running.memory_mib, quota.memory_mib) &&
+               fits(running.accelerators, quota.accelerators);
+    };
+    const bool is_allowed =
+        allows(operators_.newest) ||
+        std::any_of(replaced_manifests_.begin(), replaced_manifests_.end(), [&](const auto& each) {
+            return now_ - each.first <= longest_manifest_delay && allows(each.second);
+        });
+    if (!is_allowed) {
+        record_violation(absl::StrCat("a start of ", task_text(started), " brings organisation ",
+                                      name.value, " to ", running.milli_cores,
+                                      " milli-cores, above its quota"));
+    }
+}
+
 void central_world::check_capacity(std::size_t runner)
 {
     resources used;
@@ -883,6 +925,7 @@
             record_unplaced_start(order);
         }
         check_capacity(runner);
+        check_quota(order.task);
         schedule_crash(order.task, runner);
     }
     if (!is_answered) {
@@ -1064,15 +1107,24 @@
 {
     const std::uint64_t number = ++last_handle_;
     client_calls_[number] = {job, kind, vm, vms_[vm].incarnation};
-    deliver_event(
-        vm,
-        caller_call{{number}, kind, host_name, "/q/" + job, std::move(submitted), caller_patience});
+    deliver_event(vm, caller_call{{number},
+                                  kind,
+                                  host_name,
+                                  "/q/" + job,
+                                  std::move(submitted),
+                                  caller_patience,
+                                  keys[job]});
 }
 
 void central_world::submit(std::size_t vm, const graph_job& job)
 {
     caller_view& view = callers_[job.id.value];
     view.job = job;
+    const auto& credentials = operators_.newest.credentials;
+    const auto owner = credentials.find(keys[job.id.value]);
+    if (owner != credentials.end() && view.organisation.empty()) {
+        view.organisation = owner->second;
+    }
     if (vms_[vm].is_up) {
         // Counts as an attempt at once: it may be accepted before it is answered.
         ++view.attempts;
@@ -1168,6 +1220,7 @@
 
 void central_world::change_manifest(const std::function<void(manifest&)>& change)
 {
+    replaced_manifests_.emplace_back(now_, operators_.newest);
     change(operators_.newest);
     ++operators_.newest.version;
     for (std::size_t i{0}; i < vms_.size(); ++i) {
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -87,6 +87,8 @@
 /// The caller's view of a job.
 struct caller_view {
     graph_job job;
+    /// Whose credential it was submitted with first; empty: nobody's.
+    organisation_id organisation;
     bool was_accepted{false};
     /// A submission was accepted or had an unknown outcome.
     bool may_be_accepted{false};
@@ -99,6 +101,8 @@
     std::optional<instant> cancel_acknowledged_at;
     std::optional<job_state> shown;
 
+    std::optional<call_result> last_result;
+
     [[nodiscard]] bool was_always_refused() const { return attempts > 0 && attempts == refusals; }
 };
 
@@ -166,6 +170,10 @@
     [[nodiscard]] std::size_t pages_lost(std::size_t vm) const { return vms_[vm].pages_lost; }
     [[nodiscard]] fake_runner& runner(std::size_t i) { return runners_[i]; }
     [[nodiscard]] std::size_t runners() const { return runners_.size(); }
+    /// Credentials with which the callers of jobs call; the others call without.
+    std::map<std::string, credential> keys;
+    /// \return what runs of an organisation on all runners.
+    [[nodiscard]] resources running_of(const organisation_id& name) const;
     /// Jobs whose tasks always fail.
     std::set<std::string> failing_jobs;
     /// Jobs whose service tasks end by themselves after their run time, as done or, if they are
@@ -310,6 +318,9 @@
     /// acknowledged.
     void check_not_cancelled(std::size_t vm, const runner_order& order);
     void check_capacity(std::size_t runner);
+    /// Checks that the organisation has no more running than its quota, by the highest of the
+    /// manifests that may be in force.
+    void check_quota(const graph_task_id& started);
     /// Crashes the runner soon if the task does that.
     void schedule_crash(const graph_task_id& task, std::size_t runner);
     void check_acknowledged(const reported_end& e);
@@ -345,6 +356,8 @@
     mutable std::map<job_id, decoded_progress> decoded_;
     row_version last_version_{0};
     operator_configuration operators_;
+    /// Earlier manifests, and when each was replaced.
+    std::vector<std::pair<instant, manifest>> replaced_manifests_;
     std::vector<open_hold> holds_;
     /// Connections that carried a VM's last report from a runner, and those for its orders.
     std::map<std::pair<std::size_t, runner_id>, connection_ends> hold_connections_;
--- a/tests/central/disturbance_bench.h
+++ b/tests/central/disturbance_bench.h
@@ -69,7 +69,7 @@
         started.ordered_at = now;
         started.load = load;
         place.task->status = task_status::active;
-        attach_run(place, r, id, started);
+        attach_run(make_context(), place, r, id, started);
     }
 };
 
--- a/tests/test_daemon_central_peers.cpp
+++ b/tests/test_daemon_central_peers.cpp
@@ -39,6 +39,11 @@
         }
     }
     central::call_handle next_handle() override { return {1}; }
+    [[nodiscard]] bool may_call(std::string_view /*host*/, std::string_view /*path*/,
+                                const central::credential& /*key*/) const override
+    {
+        return true;
+    }
     [[nodiscard]] bool is_stopping() const override { return false; }
     [[nodiscard]] bool is_ready() const override { return true; }
 
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -28,6 +28,11 @@
     void post(central::event /*e*/) override {}
     central::call_handle next_handle() override { return {1}; }
     [[nodiscard]] bool is_ready() const override { return true; }
+    [[nodiscard]] bool may_call(std::string_view /*host*/, std::string_view /*path*/,
+                                const central::credential& /*key*/) const override
+    {
+        return true;
+    }
     [[nodiscard]] bool is_stopping() const override { return false; }
 };
 
@@ -108,6 +113,11 @@
     }
     central::call_handle next_handle() override { return {1}; }
     [[nodiscard]] bool is_ready() const override { return true; }
+    [[nodiscard]] bool may_call(std::string_view /*host*/, std::string_view /*path*/,
+                                const central::credential& /*key*/) const override
+    {
+        return true;
+    }
     [[nodiscard]] bool is_stopping() const override { return false; }
 
     std::optional<store_outcome> outcome;
