--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -269,6 +269,9 @@
     /// Starts that had to wait for the quota since the lease was won, and when one was logged last.
     std::uint64_t quota_waits{0};
     std::optional<instant> wait_logged_at;
+    /// The same for steps that had to wait as it had its share running.
+    std::uint64_t share_waits{0};
+    std::optional<instant> share_logged_at;
 };
 
 struct organisation_hash {
--- a/src/central/organisations/quota.cpp
+++ b/src/central/organisations/quota.cpp
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 #include "central/lease/handover.h"
 #include "central/parts.h"
+#include "dominant_share.h"
 
 namespace cuminmoor::central {
 
@@ -28,20 +29,6 @@
     return {size.milli_cores * count, size.memory_mib * count, size.accelerators * count};
 }
 
-/// \return true if what the organisation would have running does not exceed its quota in a
-/// dimension that the tasks take something of.
-bool fits_quota(const organisation_use& use, const resources& wanted)
-{
-    const resources running = use.running + use.unreported + wanted;
-    const resources& quota = use.settings.quota;
-    const auto fits = [](std::int64_t want, std::int64_t would_run, std::int64_t most) {
-        return want == 0 || most == 0 || would_run <= most;
-    };
-    return fits(wanted.milli_cores, running.milli_cores, quota.milli_cores) &&
-           fits(wanted.memory_mib, running.memory_mib, quota.memory_mib) &&
-           fits(wanted.accelerators, running.accelerators, quota.accelerators);
-}
-
 /// Logs the first wait of an organisation, and then one at most in each period.
 void note_wait(const context& c, organisation_use& use, const task_ref& ref)
 {
@@ -125,7 +112,11 @@
 bool is_within_quota(const context& c, const task_ref& ref, std::size_t tasks)
 {
     organisation_use* const use = find_use(c, *ref.job);
-    if (use == nullptr || fits_quota(*use, times(ref.step->task_size, tasks))) {
+    if (use == nullptr) {
+        return true;
+    }
+    const resources wanted = times(ref.step->task_size, tasks);
+    if (cuminmoor::is_within_quota(use->running + use->unreported + wanted, use->settings.quota)) {
         return true;
     }
     note_wait(c, *use, ref);
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -11,6 +11,7 @@
 #include "central/lease/lease.h"
 #include "central/lease/loading.h"
 #include "central/organisations/quota.h"
+#include "central/organisations/shares.h"
 #include "central/placement/disturbance.h"
 #include "central/placement/pacing.h"
 #include "central/placement/placement.h"
--- a/src/central/placement/placement.cpp
+++ b/src/central/placement/placement.cpp
@@ -332,7 +332,7 @@
     }
 }
 
-void place_step(placement_round& round, const ready_key& key)
+void place_step(placement_round& round, const ready_key& key, step_turns& turns)
 {
     graph_task_id id{key.job, key.occurrence, key.step, 0};
     const task_ref first = find_task(round.c.s, id);
@@ -347,7 +347,7 @@
     for (id.index = 0; id.index < tasks.size(); ++id.index) {
         const bool is_ready = tasks[id.index].status == task_status::ready &&
                               !round.c.s.scheduler.waiting_services.contains(id);
-        if (is_ready && !is_within_quota(round.c, first)) {
+        if (is_ready && (!is_within_quota(round.c, first) || turns.yields())) {
             return;
         }
         if (is_ready && !place_task(round, id)) {
@@ -384,6 +384,15 @@
     return rejected;
 }
 
+resources total_capacity(const std::vector<runner_record*>& runners)
+{
+    resources total;
+    for (const runner_record* const r : runners) {
+        total += r->entry.capacity;
+    }
+    return total;
+}
+
 service_pass begin_service_pass(const context& c)
 {
     scheduler_state& s = c.s.scheduler;
@@ -466,11 +475,12 @@
     }
     s.round_began_at = c.now;
     placement_round round = begin_round(c);
-    const std::vector<ready_key> order{s.ready.begin(), s.ready.end()};
-    for (const ready_key& key : order) {
-        place_step(round, key);
+    const std::size_t steps = s.ready.size();
+    step_turns turns{c, total_capacity(round.runners)};
+    while (const ready_key* const key = turns.next()) {
+        place_step(round, *key, turns);
     }
-    end_round(round, order.size());
+    end_round(round, steps);
 }
 
 void end_step(central_state& s, instant now)
--- a/src/fair_share.cpp
+++ b/src/fair_share.cpp
@@ -5,23 +5,10 @@
 #include <algorithm>
 
 #include "cuminmoor/config.h"
+#include "dominant_share.h"
 
 namespace cuminmoor {
 
-namespace {
-
-double ratio(std::int64_t part, std::int64_t whole)
-{
-    return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
-}
-
-bool is_within(std::int64_t allocated, std::int64_t quota)
-{
-    return quota == 0 || allocated <= quota;
-}
-
-} // namespace
-
 fair_share_order::fair_share_order(const ledger& job_ledger, const configuration& teams,
                                    const resources& total)
     : job_ledger_{job_ledger}, teams_{teams}, total_{total}
@@ -63,22 +50,14 @@
     const auto entry = teams_.teams.find(team);
     const std::int64_t weight =
         entry == teams_.teams.end() ? 1 : std::max<std::int64_t>(entry->second.weight, 1);
-    const double dominant = std::max({ratio(allocated.milli_cores, total_.milli_cores),
-                                      ratio(allocated.memory_mib, total_.memory_mib),
-                                      ratio(allocated.accelerators, total_.accelerators)});
-    return dominant / static_cast<double>(weight);
+    return dominant_share(allocated, total_) / static_cast<double>(weight);
 }
 
 bool fair_share_order::is_within_quota(const team_id& team, const resources& allocated) const
 {
     const auto entry = teams_.teams.find(team);
-    if (entry == teams_.teams.end()) {
-        return true;
-    }
-    const auto& quota = entry->second.quota;
-    return is_within(allocated.milli_cores, quota.milli_cores) &&
-           is_within(allocated.memory_mib, quota.memory_mib) &&
-           is_within(allocated.accelerators, quota.accelerators);
+    return entry == teams_.teams.end() ||
+           cuminmoor::is_within_quota(allocated, entry->second.quota);
 }
 
 std::optional<queue_key> fair_share_order::next()
--- a/tests/test_central_organisations.cpp
+++ b/tests/test_central_organisations.cpp
@@ -327,6 +327,49 @@
     expect_no_violation(w);
 }
 
+/// Without shares the second organisation's job, which is less urgent, waits until all of the first
+/// one's have ended.
+Test(central_organisations, excess_waits_for_an_organisation_within_its_share)
+{
+    quota_world w{0};
+    for (std::uint64_t n{1}; n <= 10; ++n) {
+        submit(w, 0, central_world::make_job(id_of(n), 1, 20, {500}));
+    }
+    w.run_for({200});
+    cr_assert_eq(running_tasks_of_a(w), 32);
+    submit(w, 1, central_world::make_job(id_of(11), 1, 16, {1'000}), {"key of b"});
+    w.run_for({700});
+    cr_assert_geq(w.running_of({"org-b"}).milli_cores, 16 * task_size.milli_cores);
+    // What b does not use is left to a.
+    cr_assert_eq(running_tasks_of_a(w), 16);
+    w.run_for({1'500});
+    cr_assert_eq(running_tasks_of_a(w), 32);
+    expect_no_violation(w);
+}
+
+/// The more weight, the more of the room, and none that the other has less of than its share.
+Test(central_organisations, room_is_shared_by_weight)
+{
+    quota_world w{0};
+    w.change_manifest([](manifest& m) { m.organisations->front().weight = 3; });
+    w.run_for({100});
+    for (std::uint64_t n{1}; n <= 12; ++n) {
+        submit(w, 0, central_world::make_job(id_of(n), 1, 40, {300}));
+        submit(w, 1, central_world::make_job(id_of(100 + n), 1, 40, {300}), {"key of b"});
+    }
+    w.run_for({2'000});
+    std::int64_t of_a{0};
+    std::int64_t of_both{0};
+    for (int i{0}; i < 100; ++i) {
+        w.run_for({10});
+        of_a += running_tasks_of_a(w);
+        of_both += running_tasks_of_a(w) + w.running_of({"org-b"}).milli_cores / 2'000;
+    }
+    const double share = static_cast<double>(of_a) / static_cast<double>(of_both);
+    cr_assert(share > 0.65 && share < 0.85, "%f", share);
+    expect_no_violation(w);
+}
+
 namespace {
 
 void disturb(central_world& w, std::mt19937_64& random)
