--- a/daemon/central_metrics.cpp
+++ b/daemon/central_metrics.cpp
@@ -44,6 +44,45 @@
     }
 }
 
+/// \return the text as a label's value; what would end it is left out.
+std::string label_value(const std::string& text)
+{
+    std::string value;
+    for (const char each : text) {
+        if (each != '"' && each != '\\' && static_cast<unsigned char>(each) >= ' ') {
+            value += each;
+        }
+    }
+    return value;
+}
+
+/// Writes what organisations have running and may have, of `max_shown_organisations` at most.
+void write_organisations(std::ostringstream& out, const central::central_state& s)
+{
+    constexpr std::size_t max_shown_organisations{100};
+    const auto& organisations = s.scheduler.organisations;
+    out << "cuminmoor_organisations " << organisations.size() << '\n';
+    std::size_t shown{0};
+    for (const auto& [name, use] : organisations) {
+        if (++shown > max_shown_organisations) {
+            return;
+        }
+        const std::string label = "{organisation=\"" + label_value(name.value) + "\"} ";
+        const auto write = [&](const char* what, auto value) {
+            out << "cuminmoor_organisation_" << what << label << value << '\n';
+        };
+        write("running_milli_cores", use.running.milli_cores);
+        write("running_mib", use.running.memory_mib);
+        write("running_accelerators", use.running.accelerators);
+        write("quota_milli_cores", use.settings.quota.milli_cores);
+        write("quota_mib", use.settings.quota.memory_mib);
+        write("quota_accelerators", use.settings.quota.accelerators);
+        write("weight", use.settings.weight);
+        write("quota_waits_total", use.quota_waits);
+        write("share_waits_total", use.share_waits);
+    }
+}
+
 } // namespace
 
 struct central_metrics::histograms {
@@ -186,6 +225,7 @@
         << "cuminmoor_ready_steps " << s.scheduler.ready.size() << '\n'
         << "cuminmoor_placement_rounds_total " << s.scheduler.placement_rounds << '\n'
         << "cuminmoor_runners_weighed_total " << s.scheduler.runners_scored << '\n';
+    write_organisations(out, s);
     write_histogram(out, "call", histograms_->call);
     write_histogram(out, "commit", histograms_->commit);
     write_histogram(out, "start", histograms_->start);
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -714,10 +714,11 @@
     return sum;
 }
 
-void central_world::check_quota(const graph_task_id& started)
+void central_world::check_quota(const runner_order& order)
 {
     constexpr millis longest_manifest_delay{3'000};
-    const organisation_id& name = callers_[started.job.value].organisation;
+    const organisation_id& name = callers_[order.task.job.value].organisation;
+    const instant ordered_at = ordered_at_.at({order.task, order.run});
     const resources running = running_of(name);
     const auto allows = [&](const manifest& m) {
         const organisation* const found = find_organisation(m, name);
@@ -732,10 +733,10 @@
     const bool is_allowed =
         allows(operators_.newest) ||
         std::any_of(replaced_manifests_.begin(), replaced_manifests_.end(), [&](const auto& each) {
-            return now_ - each.first <= longest_manifest_delay && allows(each.second);
+            return ordered_at - each.first <= longest_manifest_delay && allows(each.second);
         });
     if (!is_allowed) {
-        record_violation(absl::StrCat("a start of ", task_text(started), " brings organisation ",
+        record_violation(absl::StrCat("a start of ", task_text(order.task), " brings organisation ",
                                       name.value, " to ", running.milli_cores,
                                       " milli-cores, above its quota"));
     }
@@ -925,7 +926,7 @@
             record_unplaced_start(order);
         }
         check_capacity(runner);
-        check_quota(order.task);
+        check_quota(order);
         schedule_crash(order.task, runner);
     }
     if (!is_answered) {
@@ -953,6 +954,9 @@
         return;
     }
     check_not_cancelled(vm, e);
+    if (e.kind == order_kind::start) {
+        ordered_at_.try_emplace({e.task, e.run}, now_);
+    }
     if (chance(faults.unsent_orders)) {
         constexpr millis connect_timeout{500};
         schedule_event(vm, incarnation, connect_timeout,
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -319,8 +319,9 @@
     void check_not_cancelled(std::size_t vm, const runner_order& order);
     void check_capacity(std::size_t runner);
     /// Checks that the organisation has no more running than its quota, by the highest of the
-    /// manifests that may be in force.
-    void check_quota(const graph_task_id& started);
+    /// manifests that may have been in force when the start was ordered: a runner may carry it out
+    /// seconds later.
+    void check_quota(const runner_order& order);
     /// Crashes the runner soon if the task does that.
     void schedule_crash(const graph_task_id& task, std::size_t runner);
     void check_acknowledged(const reported_end& e);
@@ -358,6 +359,8 @@
     operator_configuration operators_;
     /// Earlier manifests, and when each was replaced.
     std::vector<std::pair<instant, manifest>> replaced_manifests_;
+    /// When each start was ordered.
+    std::map<std::pair<graph_task_id, run_number>, instant> ordered_at_;
     std::vector<open_hold> holds_;
     /// Connections that carried a VM's last report from a runner, and those for its orders.
     std::map<std::pair<std::size_t, runner_id>, connection_ends> hold_connections_;
--- a/tests/test_daemon_central_peers.cpp
+++ b/tests/test_daemon_central_peers.cpp
@@ -190,3 +190,26 @@
         metrics.render({}, io::line_log{clock, "vm1", "fd1"}, cm::instant{1'400});
     cr_assert(text.find("cuminmoor_since_last_tick_ms 400\n") != std::string::npos);
 }
+
+/// However many there are; a name cannot add lines of its own.
+Test(central_metrics, organisations_are_bounded)
+{
+    io::central_metrics metrics;
+    central::central_state s;
+    constexpr int organisations{1'000};
+    for (int i{0}; i < organisations; ++i) {
+        const central::organisation_id name{"o\n\"" + std::to_string(i)};
+        auto& use = s.scheduler.organisations[name];
+        use.settings.name = name;
+        use.running.milli_cores = 7;
+    }
+    io::system_clock clock;
+    const std::string text = metrics.render(s, io::line_log{clock, "vm1", "fd1"}, cm::instant{1});
+    cr_assert_neq(text.find("cuminmoor_organisations 1000\n"), std::string::npos);
+    std::size_t shown{0};
+    for (std::size_t at{0};
+         (at = text.find("running_milli_cores{organisation=\"o", at)) != std::string::npos; ++at) {
+        ++shown;
+    }
+    cr_assert_eq(shown, 100);
+}
