--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -152,12 +152,15 @@
 /// caused.
 inline constexpr std::uint32_t attributed_crashes_to_hold_back{2};
 inline constexpr std::uint32_t possible_crashes_to_hold_back{4};
-/// Time for which it is held back, and the same after few crashes. Users accept two starts after
-/// the third crash, and consider a service task lost after 9 s without a run.
-inline constexpr millis crash_hold_back{300'000};
+/// Time for which it is held back: after few crashes, after more, and after so many that a further
+/// one breaks the users' rule. They accept two starts after the third crash, and consider a service
+/// task lost after 9 s without a run.
 inline constexpr millis brief_crash_hold_back{5'000};
+inline constexpr millis long_crash_hold_back{30'000};
+inline constexpr millis crash_hold_back{300'000};
 inline constexpr std::uint32_t crashes_held_back_briefly{3};
-inline constexpr std::uint32_t service_crashes_held_back_briefly{4};
+/// If the count is certainly not too low.
+inline constexpr std::uint32_t exact_crashes_held_back_briefly{4};
 
 // Services whose runs end by themselves.
 /// A run that ended sooner than this after its start was short. After one short run a service
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -84,7 +84,8 @@
     run_number number;
     run_phase phase{run_phase::starting};
     instant ordered_at;
-    /// The start is ordered once the store has its place, see `task_record::placed_on`.
+    /// The start is ordered once the store has it: the place of a service, see
+    /// `task_record::placed_on`, or `crash_counts::has_open_run`.
     bool awaits_store{false};
     /// The start order has not been answered.
     bool start_in_flight{false};
@@ -120,17 +121,21 @@
     std::uint32_t possible{0};
     /// Of these, crashes that nothing else explains.
     std::uint32_t attributed{0};
-    /// A suspect or a service was started, and the outcome is not known yet. A successor that finds
-    /// no such run knows that it was lost. For services it is not stored, as their place and
-    /// `task_record::has_survived_there` tell.
+    /// A suspect or a service was started, or a runner was lost soon after it had started the task,
+    /// and the outcome is not known yet. A successor that finds no such run knows that it was lost.
+    /// For services it is not stored, as their place and `task_record::has_survived_there` tell.
     bool has_open_run{false};
     /// Crashes for which it was a suspect under this holder of the lease; not stored.
     std::uint32_t suspected{0};
     /// The task does not start before; not stored.
     std::optional<instant> held_back_until{};
+    /// The last runner that crashed, as far as this holder of the lease knows, and whether another
+    /// one did, too; not stored.
+    runner_id crashed_runner{};
+    bool has_crashed_several{false};
 
     /// \return true if something is counted that a run which survives its start clears.
-    [[nodiscard]] bool has_counted() const { return is_suspect || possible > 0; }
+    [[nodiscard]] bool has_counted() const { return is_suspect || possible > 0 || has_open_run; }
 };
 
 /// Bounds the rate at which a service task starts whose runs end by themselves; see restarts.cpp.
@@ -311,6 +316,8 @@
     std::optional<graph_task_id> culprit;
     /// The culprit was ordered no longer than `prompt_crash_time` before.
     bool is_prompt{false};
+    /// All tasks that were ordered no longer before.
+    std::vector<graph_task_id> prompt_suspects;
 };
 
 /// What decides which tasks a schedulable runner can take, except the disturbance model.
@@ -705,9 +712,9 @@
     bool services_recovered{false};
     /// See `handover::places_known`.
     bool places_known{false};
-    /// Contains the service tasks whose run has `awaits_store`, each with the number of the job's
-    /// change that has its place; other entries are dropped when that is stored.
-    std::map<graph_task_id, std::uint64_t> unstored_places;
+    /// Contains the tasks whose run has `awaits_store`, each with the number of the job's change
+    /// that has its place or its open run; other entries are dropped when that is stored.
+    std::map<graph_task_id, std::uint64_t> unstored_starts;
     /// Occurrences that are not due yet: due time on the wall clock, job, and index of the
     /// occurrence.
     std::set<std::tuple<std::int64_t, job_id, std::uint32_t>> future_occurrences;
--- a/src/central/runs/crashes.cpp
+++ b/src/central/runs/crashes.cpp
@@ -10,13 +10,15 @@
 /// when the runner was lost is a suspect. When it starts again it is isolated: if possible on a
 /// runner where nothing else has started recently, and nothing else starts there for a while. If
 /// this runner crashes too, the crash is attributed to the task. No crash counts for anybody if
-/// many runners without such a culprit were lost at the same time. A run that survives its first
-/// moments clears its task.
+/// many runners without such a culprit were lost at the same time, but for tasks that had started
+/// immediately before. A run that survives its first moments clears its task.
 ///
 /// The counts are stored with the job's progress, so that a successor continues them. It also
-/// counts the runs of suspects and services that were lost together with the holder before it.
-/// Services are missed soon, so they are held back briefly up to the last crash that users accept,
-/// and a successor does not begin that time anew.
+/// counts runs that were lost together with the holder before it: those of suspects and services,
+/// whose starts are stored before they are ordered, and those of other tasks that had just started
+/// on a runner that the holder had found lost. Each is counted once. So the count is exact but for
+/// a first crash that no holder has noticed, and it alone decides how long a task is held back:
+/// briefly up to the last crash that users accept, and not anew under each successor.
 #include "central/runs/run_parts.h"
 
 #include <algorithm>
@@ -88,16 +90,42 @@
            counts.possible >= config::possible_crashes_to_hold_back;
 }
 
+std::uint32_t crash_count(const crash_counts& counts)
+{
+    return std::max(counts.possible, counts.suspected);
+}
+
 /// \return true if the task's crashes are so few that others may be to blame. The count of a
-/// service includes all crashes, whoever held the lease, as its place is stored before each start.
+/// service includes all crashes. A batch task's first may be missing, unless this holder has seen
+/// all of them on one runner, which then is as likely to blame.
 bool are_crashes_few(const task_ref& ref)
 {
     const crash_counts& counts = ref.task->crashes;
-    const std::uint32_t crashes = std::max(counts.possible, counts.suspected);
-    if (ref.step->is_service) {
-        return crashes <= config::service_crashes_held_back_briefly;
+    const bool is_exact =
+        ref.step->is_service || (!ref.job->recovered && !counts.has_crashed_several);
+    const std::uint32_t most =
+        is_exact ? config::exact_crashes_held_back_briefly : config::crashes_held_back_briefly;
+    return crash_count(counts) <= most;
+}
+
+/// \return the time for which a task that seems to crash its runners is held back.
+millis hold_back_time(const task_ref& ref)
+{
+    if (are_crashes_few(ref)) {
+        return config::brief_crash_hold_back;
     }
-    return crashes <= config::crashes_held_back_briefly && !ref.job->recovered;
+    const bool may_be_last =
+        crash_count(ref.task->crashes) > config::exact_crashes_held_back_briefly;
+    return may_be_last ? config::crash_hold_back : config::long_crash_hold_back;
+}
+
+/// Records on which runner the task crashed.
+void note_crashed_runner(crash_counts& counts, const runner_id& runner)
+{
+    const bool is_first = crash_count(counts) == 0;
+    counts.has_crashed_several =
+        counts.has_crashed_several || (!is_first && counts.crashed_runner != runner);
+    counts.crashed_runner = runner;
 }
 
 /// \param crashed_at the last sign of life of the crashed runner, or now if that is not known.
@@ -108,8 +136,8 @@
     if (!is_proved(counts)) {
         return;
     }
-    counts.held_back_until = are_crashes_few(ref) ? crashed_at + config::brief_crash_hold_back
-                                                  : c.now + config::crash_hold_back;
+    const instant since = are_crashes_few(ref) ? crashed_at : c.now;
+    counts.held_back_until = since + hold_back_time(ref);
     const millis time = *counts.held_back_until - c.now;
     if (time > millis{0}) {
         c.log("task_held_back", {{"task", to_string(id)},
@@ -132,6 +160,15 @@
     return loss.culprit && is_vague ? crash_blame::possible : crash_blame::outside_cause;
 }
 
+/// \return how the crash counts for one of its suspects. A start immediately before it is rarely a
+/// coincidence, whatever else was lost then.
+crash_blame blame_of(const runner_loss& loss, const graph_task_id& id, crash_blame blame)
+{
+    const auto& prompt = loss.prompt_suspects;
+    const bool is_prompt = std::find(prompt.begin(), prompt.end(), id) != prompt.end();
+    return blame == crash_blame::outside_cause && is_prompt ? crash_blame::possible : blame;
+}
+
 void count_for_suspect(const context& c, const runner_record& r, const graph_task_id& id,
                        crash_blame blame)
 {
@@ -141,6 +178,7 @@
         return;
     }
     crash_counts& counts = ref.task->crashes;
+    note_crashed_runner(counts, r.entry.id);
     counts.is_suspect = true;
     ++counts.suspected;
     counts.possible += blame == crash_blame::outside_cause ? 0 : 1;
@@ -158,8 +196,9 @@
 void count_lost_with_holder(const context& c, const graph_task_id& id, const task_ref& ref)
 {
     crash_counts& counts = ref.task->crashes;
-    // So many may be lost at once that all would have to start isolated.
-    counts.is_suspect = counts.is_suspect || counts.possible > 0;
+    // So many services may be lost at once that all would have to start isolated.
+    counts.is_suspect = counts.is_suspect || counts.possible > 0 || !ref.step->is_service;
+
     ++counts.possible;
     const runner_id runner = ref.task->placed_on;
     // Otherwise the next holder would count it again if the task has not started until then.
@@ -172,6 +211,21 @@
                                    {"attributed_crashes", absl::StrCat(counts.attributed)}});
 }
 
+/// Stores that the runs of batch tasks may have crashed their runner: if this holder is lost before
+/// it knows, its successor counts them.
+void mark_open_runs(const context& c, const std::vector<graph_task_id>& suspects)
+{
+    for (const graph_task_id& id : suspects) {
+        const task_ref ref = find_task(c.s, id);
+        crash_counts& counts = ref.task->crashes;
+        const bool is_stored_otherwise = ref.step->is_service || ref.step->is_gang;
+        if (!is_stored_otherwise && !counts.has_open_run && !ref.job->has_ended()) {
+            counts.has_open_run = true;
+            mark_changed(c, *ref.job);
+        }
+    }
+}
+
 /// Sets the culprit of a loss: the only suspect if it was isolated, or the only isolated one if the
 /// runner was lost at once after its start.
 void find_culprit(const context& c, runner_loss& loss, const std::vector<graph_task_id>& suspects)
@@ -179,10 +233,14 @@
     std::size_t isolated{0};
     for (const graph_task_id& id : suspects) {
         const run& each = *find_task(c.s, id).task->current_run;
+        const bool is_prompt = c.now - each.ordered_at <= config::prompt_crash_time;
+        if (is_prompt) {
+            loss.prompt_suspects.push_back(id);
+        }
         if (each.is_isolated) {
             ++isolated;
             loss.culprit = id;
-            loss.is_prompt = c.now - each.ordered_at <= config::prompt_crash_time;
+            loss.is_prompt = is_prompt;
         }
     }
     const bool is_certain = isolated == 1 && (suspects.size() == 1 || loss.is_prompt);
@@ -222,6 +280,7 @@
     loss.noticed_at = c.now;
     loss.is_unexplained = suspects.empty();
     find_culprit(c, loss, suspects);
+    mark_open_runs(c, suspects);
     r.loss = loss;
     c.s.scheduler.recent_losses.push_back(*r.loss);
 }
@@ -235,7 +294,7 @@
     for (const graph_task_id& id : suspects) {
         const bool is_blamed = blame != crash_blame::attributed || id == *r.loss->culprit;
         if (is_blamed) {
-            count_for_suspect(c, r, id, blame);
+            count_for_suspect(c, r, id, blame_of(*r.loss, id, blame));
         }
     }
 }
@@ -250,6 +309,9 @@
     else if (blame == crash_blame::possible) {
         u.suspects = crash_suspects(c, r);
     }
+    else if (r.loss) {
+        u.suspects = r.loss->prompt_suspects;
+    }
 }
 
 void count_handed_over_crash(const context& c, runner_record& r)
@@ -261,8 +323,12 @@
         r.told_by_predecessor->is_attributed ? crash_blame::attributed : crash_blame::possible;
     for (const graph_task_id& id : std::exchange(r.told_by_predecessor->suspects, {})) {
         if (const task_ref ref = find_task(c.s, id)) {
-            // The run is counted here.
+            // The run is counted here. Otherwise the next holder would count it again, as long as
+            // the task has not started.
             ref.task->crashes.has_open_run = false;
+            if (!ref.task->current_run && ref.task->placed_on == r.entry.id) {
+                forget_place(c, ref);
+            }
             count_for_suspect(c, r, id, blame);
         }
     }
@@ -278,11 +344,10 @@
     if (!counts.is_suspect) {
         return false;
     }
-    // A successor does not know when the last crash was. A service that is only held back briefly
+    // A successor does not know when the last crash was. A task that is only held back briefly
     // starts at once: otherwise each successor would add to the time for which it is missed.
     const bool is_time_known = counts.held_back_until && !was_lost_with_holder;
-    const bool starts_at_once = ref.step->is_service && are_crashes_few(ref);
-    if (!is_time_known && !starts_at_once) {
+    if (!is_time_known && !are_crashes_few(ref)) {
         hold_back_if_proved(c, id, ref, c.now);
     }
     const bool is_held = counts.held_back_until && c.now < *counts.held_back_until;
@@ -316,7 +381,7 @@
     }
     current.has_survived_start = true;
     ref.task->has_survived_there = ref.step->is_service;
-    if (ref.task->has_survived_there || ref.task->crashes.is_suspect) {
+    if (ref.task->has_survived_there || ref.task->crashes.has_counted()) {
         ref.task->crashes = {};
         mark_changed(c, *ref.job);
     }
--- a/src/central/runs/run_reports.cpp
+++ b/src/central/runs/run_reports.cpp
@@ -132,7 +132,7 @@
     adopted.start_confirmed_at_hold = r.holds_sent;
     adopted.pace = unknown_pace;
     adopted.has_survived_start =
-        ref.step->is_service ? ref.task->has_survived_there : !ref.task->crashes.is_suspect;
+        ref.step->is_service ? ref.task->has_survived_there : !ref.task->crashes.has_counted();
     ref.task->last_run = std::max(ref.task->last_run, reported.run);
     attach_run(ref, r, reported.task, adopted);
     // Nobody can tell how long services have missed their targets beside it.
--- a/src/central/runs/runs.cpp
+++ b/src/central/runs/runs.cpp
@@ -275,35 +275,37 @@
     started.runner = r.entry.id;
     started.number = number;
     started.ordered_at = c.now;
-    started.awaits_store = ref.step->is_service;
+    started.awaits_store = ref.step->is_service || ref.task->crashes.has_open_run;
     started.is_isolated = ref.task->crashes.is_suspect;
     attach_run(ref, r, id, started);
     ref.task->is_reconciled = true;
-    if (started.awaits_store) {
+    if (ref.step->uses_leftover) {
+        update_expected_disturbance(c, r);
+    }
+    if (ref.step->is_service) {
         // Also if it was there before: that is known to be stored only after this change.
         ref.task->placed_on = r.entry.id;
         ref.task->has_survived_there = false;
+    }
+    if (started.awaits_store) {
         mark_changed(c, *ref.job);
-        c.s.scheduler.unstored_places[id] = ref.job->last_change;
+        c.s.scheduler.unstored_starts[id] = ref.job->last_change;
         return;
     }
-    if (ref.step->uses_leftover) {
-        update_expected_disturbance(c, r);
-    }
     order_start(c, id, ref, r);
 }
 
 void order_stored_starts(const context& c)
 {
     scheduler_state& s = c.s.scheduler;
-    for (auto it = s.unstored_places.begin(); it != s.unstored_places.end();) {
+    for (auto it = s.unstored_starts.begin(); it != s.unstored_starts.end();) {
         const auto [id, change] = *it;
         const task_ref ref = find_task(c.s, id);
         if (ref && change > ref.job->stored_change) {
             ++it;
             continue;
         }
-        it = s.unstored_places.erase(it);
+        it = s.unstored_starts.erase(it);
         if (ref && ref.task->current_run && ref.task->current_run->awaits_store) {
             order_or_release(c, id, ref);
         }
--- a/tests/test_central_crash_loops.cpp
+++ b/tests/test_central_crash_loops.cpp
@@ -86,6 +86,32 @@
     }
 }
 
+/// A crash was counted by the holder that was told of it and once more by the next one, as the
+/// service had not started in between (soak, seed 6019).
+Test(central_crash_loops, crash_that_was_handed_over_counts_once)
+{
+    constexpr millis down{1'400};
+    constexpr millis noticed_after{3'500};
+    constexpr millis last_down{5'000};
+    for (std::int64_t lost_after{0}; lost_after <= 400; lost_after += look.count) {
+        crash_loop l{1};
+        for (int i{1}; i < 4; ++i) {
+            l.run_for({150});
+            l.crash_runner(down);
+            cr_assert(l.runs_within(restart_limit(down)));
+        }
+        l.run_for({150});
+        l.crash_runner(last_down);
+        l.run_for(noticed_after);
+        l.end_scheduler(vm_end::planned_stop);
+        l.run_for(last_down - noticed_after + millis{lost_after});
+        l.end_scheduler(vm_end::kill);
+        cr_expect(l.runs_within(restart_limit(down)), "killed %ld ms after the return",
+                  static_cast<long>(lost_after));
+        expect_no_violation(l.w);
+    }
+}
+
 /// A task at fault crashes no more runners than users accept, whoever holds the lease, and those
 /// that ran beside it run again.
 Test(central_crash_loops, service_at_fault_is_held_back_although_the_lease_moves)
