--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -159,9 +159,13 @@
     restart_backoff restarts;
     /// Highest run number assigned or reported.
     run_number last_run;
-    /// Of a service task: the only runner on which it can run; empty: none. It is in the store
-    /// before the start is ordered, so that a later holder of the lease knows whom to ask.
+    /// Of a service task, or with `crash_counts::has_open_run`: the only runner on which it can
+    /// run; empty: none. It is in the store before the start is ordered, so that a later holder of
+    /// the lease knows whom to ask.
     runner_id placed_on;
+    /// Incarnation of that runner for which it was started, see `runner_entry::started_at_ms`; 0:
+    /// not known. If the same one answers later, the run has not crashed it.
+    std::int64_t placed_incarnation{0};
     /// Of a service task: its run there has survived its start, see crashes.cpp.
     bool has_survived_there{false};
     std::string checkpoint;
--- a/src/central/runs/crashes.cpp
+++ b/src/central/runs/crashes.cpp
@@ -201,9 +201,6 @@
 
     ++counts.possible;
     const runner_id runner = ref.task->placed_on;
-    // Otherwise the next holder would count it again if the task has not started until then.
-    forget_place(c, ref);
-    mark_changed(c, *ref.job);
     c.log("run_lost_with_holder", {{"task", to_string(id)},
                                    {"runner", runner.value},
                                    {"suspect", counts.is_suspect ? "true" : "false"},
@@ -211,9 +208,36 @@
                                    {"attributed_crashes", absl::StrCat(counts.attributed)}});
 }
 
+/// \return true if the incarnation of the runner on which a run was to start has answered this
+/// holder, so that the run has not crashed it: it was stopped, or its start was not ordered.
+bool has_outlived_run(const context& c, const task_ref& ref)
+{
+    const runner_record* const r = find_runner(c, ref.task->placed_on);
+    return r != nullptr && r->is_fenced && ref.task->placed_incarnation != 0 &&
+           r->entry.started_at_ms == ref.task->placed_incarnation;
+}
+
+/// Handles a run that was open when the holder before was lost and that no runner has reported.
+/// \return true if it is counted as one that may have crashed its runner.
+bool settle_open_run(const context& c, const graph_task_id& id, const task_ref& ref)
+{
+    if (!std::exchange(ref.task->crashes.has_open_run, false)) {
+        return false;
+    }
+    const bool counts = !has_outlived_run(c, ref);
+    if (counts) {
+        count_lost_with_holder(c, id, ref);
+    }
+    // Otherwise the next holder would count it again if the task has not started until then.
+    forget_place(c, ref);
+    mark_changed(c, *ref.job);
+    return counts;
+}
+
 /// Stores that the runs of batch tasks may have crashed their runner: if this holder is lost before
 /// it knows, its successor counts them.
-void mark_open_runs(const context& c, const std::vector<graph_task_id>& suspects)
+void mark_open_runs(const context& c, const runner_record& r,
+                    const std::vector<graph_task_id>& suspects)
 {
     for (const graph_task_id& id : suspects) {
         const task_ref ref = find_task(c.s, id);
@@ -221,6 +245,7 @@
         const bool is_stored_otherwise = ref.step->is_service || ref.step->is_gang;
         if (!is_stored_otherwise && !counts.has_open_run && !ref.job->has_ended()) {
             counts.has_open_run = true;
+            keep_place(c, ref, r);
             mark_changed(c, *ref.job);
         }
     }
@@ -280,7 +305,7 @@
     loss.noticed_at = c.now;
     loss.is_unexplained = suspects.empty();
     find_culprit(c, loss, suspects);
-    mark_open_runs(c, suspects);
+    mark_open_runs(c, r, suspects);
     r.loss = loss;
     c.s.scheduler.recent_losses.push_back(*r.loss);
 }
@@ -337,10 +362,7 @@
 bool is_held_back(const context& c, const graph_task_id& id, task_ref ref)
 {
     crash_counts& counts = ref.task->crashes;
-    const bool was_lost_with_holder = std::exchange(counts.has_open_run, false);
-    if (was_lost_with_holder) {
-        count_lost_with_holder(c, id, ref);
-    }
+    const bool was_lost_with_holder = settle_open_run(c, id, ref);
     if (!counts.is_suspect) {
         return false;
     }
@@ -383,6 +405,9 @@
     ref.task->has_survived_there = ref.step->is_service;
     if (ref.task->has_survived_there || ref.task->crashes.has_counted()) {
         ref.task->crashes = {};
+        if (!ref.step->is_service) {
+            forget_place(c, ref);
+        }
         mark_changed(c, *ref.job);
     }
 }
--- a/src/central/runs/run_parts.h
+++ b/src/central/runs/run_parts.h
@@ -32,8 +32,8 @@
 /// Logs an event of a run.
 void log_run(const context& c, const char* name, const graph_task_id& id, const run& r,
              const char* outcome);
-/// Records that a service task runs on this runner, whatever the store says.
-void keep_place(const context& c, const task_ref& ref, const runner_id& place);
+/// Records that the task runs on this incarnation of the runner, whatever the store says.
+void keep_place(const context& c, const task_ref& ref, const runner_record& r);
 /// Records that a task runs on no runner.
 void forget_place(const context& c, const task_ref& ref);
 /// Makes an active task without a run ready again, unless its job has ended.
--- a/src/central/runs/run_reports.cpp
+++ b/src/central/runs/run_reports.cpp
@@ -123,7 +123,9 @@
     }
     unmark_task_ready(c, reported.task, ref);
     ref.task->status = task_status::active;
-    keep_place(c, ref, r.entry.id);
+    if (ref.step->is_service) {
+        keep_place(c, ref, r);
+    }
     run adopted;
     adopted.runner = r.entry.id;
     adopted.number = reported.run;
--- a/src/central/runs/runs.cpp
+++ b/src/central/runs/runs.cpp
@@ -71,11 +71,13 @@
     return !each.awaits_store && each.start_confirmed_at_hold == 0;
 }
 
-/// Records the runner on which a service task can run; empty: none.
-void set_place(const context& c, const task_ref& ref, const runner_id& place)
+/// Records the runner on which a task can run; empty: none.
+void set_place(const context& c, const task_ref& ref, const runner_id& place,
+               std::int64_t incarnation)
 {
-    if (ref.task->placed_on != place) {
+    if (ref.task->placed_on != place || ref.task->placed_incarnation != incarnation) {
         ref.task->placed_on = place;
+        ref.task->placed_incarnation = incarnation;
         ref.task->has_survived_there = false;
         mark_changed(c, *ref.job);
     }
@@ -232,17 +234,15 @@
     }
 }
 
-void keep_place(const context& c, const task_ref& ref, const runner_id& place)
+void keep_place(const context& c, const task_ref& ref, const runner_record& r)
 {
-    if (ref.step->is_service) {
-        set_place(c, ref, place);
-    }
+    set_place(c, ref, r.entry.id, r.entry.started_at_ms);
 }
 
 void forget_place(const context& c, const task_ref& ref)
 {
     if (!ref.job->has_ended()) {
-        set_place(c, ref, {});
+        set_place(c, ref, {}, 0);
     }
 }
 
@@ -282,12 +282,11 @@
     if (ref.step->uses_leftover) {
         update_expected_disturbance(c, r);
     }
-    if (ref.step->is_service) {
+    if (started.awaits_store) {
         // Also if it was there before: that is known to be stored only after this change.
         ref.task->placed_on = r.entry.id;
+        ref.task->placed_incarnation = r.entry.started_at_ms;
         ref.task->has_survived_there = false;
-    }
-    if (started.awaits_store) {
         mark_changed(c, *ref.job);
         c.s.scheduler.unstored_starts[id] = ref.job->last_change;
         return;
--- a/src/central/store/codec.cpp
+++ b/src/central/store/codec.cpp
@@ -249,7 +249,19 @@
 template <typename Archive>
 void serialize(Archive& archive, stored_progress& p)
 {
-    archive(p.state, p.occurrences, p.crashes, p.places, p.survivors);
+    archive(p.state, p.occurrences, p.crashes, p.places, p.survivors, p.incarnations);
+}
+
+/// Progress as it was written before `incarnations` was added.
+struct progress_without_incarnations {
+    stored_progress progress;
+};
+
+template <typename Archive>
+void serialize(Archive& archive, progress_without_incarnations& p)
+{
+    archive(p.progress.state, p.progress.occurrences, p.progress.crashes, p.progress.places,
+            p.progress.survivors);
 }
 
 /// Progress as it was written before `survivors` was added.
@@ -354,7 +366,7 @@
 void add_crashes_and_places(stored_progress& progress,
                             const std::vector<occurrence_record>& occurrences)
 {
-    std::map<runner_id, std::vector<task_position>> places;
+    std::map<std::pair<runner_id, std::int64_t>, std::vector<task_position>> places;
     for (std::uint32_t k{0}; k < occurrences.size(); ++k) {
         const auto& steps = occurrences[k].steps;
         for (std::uint32_t step{0}; step < steps.size(); ++step) {
@@ -364,7 +376,8 @@
                     progress.crashes.push_back({k, step, i, tasks[i].crashes});
                 }
                 if (!tasks[i].placed_on.value.empty()) {
-                    places[tasks[i].placed_on].push_back({k, step, i});
+                    places[{tasks[i].placed_on, tasks[i].placed_incarnation}].push_back(
+                        {k, step, i});
                 }
                 if (tasks[i].has_survived_there) {
                     progress.survivors.push_back({k, step, i});
@@ -372,8 +385,9 @@
             }
         }
     }
-    for (auto& [runner, tasks] : places) {
-        progress.places.push_back({runner, std::move(tasks)});
+    for (auto& [place, tasks] : places) {
+        progress.places.push_back({place.first, std::move(tasks)});
+        progress.incarnations.push_back(place.second);
     }
 }
 
@@ -414,10 +428,14 @@
             task->crashes = each.counts;
         }
     }
-    for (const stored_place& place : progress.places) {
+    // Places that a process of an earlier version has written have none.
+    progress.incarnations.resize(progress.places.size());
+    for (std::size_t i{0}; i < progress.places.size(); ++i) {
+        const stored_place& place = progress.places[i];
         for (const task_position& at : place.tasks) {
             if (task_record* const task = find_task_at(progress, at)) {
                 task->placed_on = place.runner;
+                task->placed_incarnation = progress.incarnations[i];
                 task->crashes.has_open_run = true;
             }
         }
@@ -583,7 +601,10 @@
 {
     auto progress = decode<stored_progress>(text, "job progress");
     if (!progress.ok()) {
-        auto earlier = decode_earlier_progress<progress_without_survivors>(text);
+        auto earlier = decode_earlier_progress<progress_without_incarnations>(text);
+        if (!earlier.ok()) {
+            earlier = decode_earlier_progress<progress_without_survivors>(text);
+        }
         if (!earlier.ok()) {
             earlier = decode_earlier_progress<progress_without_places>(text);
         }
--- a/src/central/store/codec.h
+++ b/src/central/store/codec.h
@@ -61,6 +61,8 @@
     std::vector<stored_place> places;
     /// The tasks of `places` that have `task_record::has_survived_there`.
     std::vector<task_position> survivors;
+    /// `task_record::placed_incarnation` of each element of `places`.
+    std::vector<std::int64_t> incarnations;
 };
 
 std::string encode_head(const head_row& row);
