--- a/tests/central/crash_loop.h
+++ b/tests/central/crash_loop.h
@@ -39,8 +39,9 @@
 struct crash_loop {
     central_world w;
 
-    explicit crash_loop(std::uint64_t seed, task_kind kind = task_kind::service)
-        : w{{.seed = seed, .vms = 5, .runners = 10}}
+    explicit crash_loop(std::uint64_t seed, task_kind kind = task_kind::service,
+                        std::size_t runners = 10)
+        : w{{.seed = seed, .vms = 5, .runners = runners}}
     {
         w.runner(0).entry.labels.emplace_back(only_label);
         w.run_for(warm_up);
