--- a/src/central/placement/placement.cpp
+++ b/src/central/placement/placement.cpp
@@ -169,7 +169,7 @@
 
 void start_task(const context& c, const graph_task_id& id, const task_ref& ref, runner_record& r)
 {
-    begin_suspect_run(c, ref);
+    begin_suspect_run(c, id, ref);
     start_run(c, id, ref, r, next_run_number(c, *ref.task));
 }
 
--- a/src/central/runs/crashes.cpp
+++ b/src/central/runs/crashes.cpp
@@ -98,14 +98,15 @@
 /// \return true if the task's crashes are so few that others may be to blame. The count of a
 /// service includes all crashes. A batch task's first may be missing, unless this holder has seen
 /// all of them on one runner, which then is as likely to blame.
-bool are_crashes_few(const task_ref& ref)
+/// \param undecided further crashes that may be found.
+bool are_crashes_few(const task_ref& ref, std::uint32_t undecided = 0)
 {
     const crash_counts& counts = ref.task->crashes;
     const bool is_exact =
         ref.step->is_service || (!ref.job->recovered && !counts.has_crashed_several);
     const std::uint32_t most =
         is_exact ? config::exact_crashes_held_back_briefly : config::crashes_held_back_briefly;
-    return crash_count(counts) <= most;
+    return crash_count(counts) + undecided <= most;
 }
 
 /// \return the time for which a task that seems to crash its runners is held back.
@@ -208,6 +209,14 @@
                                    {"attributed_crashes", absl::StrCat(counts.attributed)}});
 }
 
+/// \return true if it is not known yet whether the task's open run has crashed its runner: that has
+/// not answered this holder, and as it is still registered, it may only be cut off.
+bool is_open_run_undecided(const context& c, const task_ref& ref)
+{
+    const runner_record* const r = find_runner(c, ref.task->placed_on);
+    return ref.task->crashes.has_open_run && r != nullptr && r->listed && !r->is_fenced;
+}
+
 /// \return true if the incarnation of the runner on which a run was to start has answered this
 /// holder, so that the run has not crashed it: it was stopped, or its start was not ordered.
 bool has_outlived_run(const context& c, const task_ref& ref)
@@ -362,6 +371,10 @@
 bool is_held_back(const context& c, const graph_task_id& id, task_ref ref)
 {
     crash_counts& counts = ref.task->crashes;
+    if (is_open_run_undecided(c, ref)) {
+        // If it starts all the same, the crash is counted.
+        return !are_crashes_few(ref, 1);
+    }
     const bool was_lost_with_holder = settle_open_run(c, id, ref);
     if (!counts.is_suspect) {
         return false;
@@ -379,8 +392,9 @@
     return is_held;
 }
 
-void begin_suspect_run(const context& c, task_ref ref)
+void begin_suspect_run(const context& c, const graph_task_id& id, task_ref ref)
 {
+    settle_open_run(c, id, ref);
     if (ref.task->crashes.is_suspect) {
         ref.task->crashes.has_open_run = true;
         mark_changed(c, *ref.job);
--- a/src/central/runs/crashes.h
+++ b/src/central/runs/crashes.h
@@ -23,8 +23,9 @@
 /// \return true if the task is a suspect that must not start yet. Counts a run of it that was lost
 /// with the holder of the lease.
 bool is_held_back(const context& c, const graph_task_id& id, task_ref ref);
-/// Records that a suspect is about to start; no effect on other tasks.
-void begin_suspect_run(const context& c, task_ref ref);
+/// Records that a task is about to start: its last run is counted if its outcome is not known, and
+/// the new one is if the task is a suspect.
+void begin_suspect_run(const context& c, const graph_task_id& id, task_ref ref);
 /// Records that the outcome of a suspect's run is known.
 void end_suspect_run(const context& c, task_ref ref);
 /// Clears the suspicion against the task once its current run has survived its start.
--- a/tests/test_central_crash_loops.cpp
+++ b/tests/test_central_crash_loops.cpp
@@ -123,6 +123,30 @@
     }
 }
 
+/// A run that lapsed on a runner that was only cut off counted as a fifth crash, as its holder was
+/// lost (soak, seed 6019).
+Test(central_crash_loops, service_whose_runner_was_cut_off_after_crashes_runs_again)
+{
+    constexpr millis down{1'400};
+    constexpr millis cut{20'000};
+    for (const vm_end how : {vm_end::planned_stop, vm_end::kill}) {
+        crash_loop l{1};
+        for (int i{1}; i <= 4; ++i) {
+            l.run_for({150});
+            l.crash_runner(down);
+            cr_assert(l.runs_within(restart_limit(down)));
+        }
+        l.run_for({150});
+        l.w.faults.unreachable_runners.insert(0);
+        l.end_scheduler(how);
+        l.run_for(cut);
+        l.w.faults.unreachable_runners.erase(0);
+        cr_expect(l.runs_within(restart_limit(down)), "%s",
+                  how == vm_end::kill ? "kill" : "planned stop");
+        expect_no_violation(l.w);
+    }
+}
+
 /// A task at fault crashes no more runners than users accept, whoever holds the lease, and those
 /// that ran beside it run again.
 Test(central_crash_loops, service_at_fault_is_held_back_although_the_lease_moves)
