--- a/tests/central/crash_loop.h
+++ b/tests/central/crash_loop.h
@@ -39,8 +39,9 @@
 struct crash_loop {
     central_world w;
 
-    explicit crash_loop(std::uint64_t seed, task_kind kind = task_kind::service)
-        : w{{.seed = seed, .vms = 5, .runners = 10}}
+    explicit crash_loop(std::uint64_t seed, task_kind kind = task_kind::service,
+                        std::size_t runners = 10)
+        : w{{.seed = seed, .vms = 5, .runners = runners}}
     {
         w.runner(0).entry.labels.emplace_back(only_label);
         w.run_for(warm_up);
@@ -219,7 +220,7 @@
 
 inline void check_tasks_at_fault(task_kind kind, vm_end how)
 {
-    constexpr std::uint64_t seeds{24};
+    constexpr std::uint64_t seeds{60};
     for (std::uint64_t seed{1}; seed <= seeds; ++seed) {
         check_task_at_fault(seed, kind, how);
     }
--- a/tests/test_central_crash_loops.cpp
+++ b/tests/test_central_crash_loops.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// Services and batch tasks whose runner crashes again and again while the scheduling VM is stopped
 /// or lost, and tasks that crash their runners under several holders of the lease.
+#include <string>
+
 #include "central/crash_loop.h"
 
 using namespace cuminmoor;
@@ -86,6 +88,65 @@
     }
 }
 
+/// A crash was counted by the holder that was told of it and once more by the next one, as the
+/// service had not started in between (soak, seed 6019).
+Test(central_crash_loops, crash_that_was_handed_over_counts_once)
+{
+    constexpr millis down{1'400};
+    constexpr millis noticed_after{3'500};
+    constexpr millis last_down{5'000};
+    for (std::int64_t lost_after{0}; lost_after <= 100; lost_after += look.count) {
+        crash_loop l{1};
+        for (int i{1}; i < 4; ++i) {
+            l.run_for({150});
+            l.crash_runner(down);
+            cr_assert(l.runs_within(restart_limit(down)));
+        }
+        l.run_for({150});
+        l.crash_runner(last_down);
+        l.run_for(noticed_after);
+        l.end_scheduler(vm_end::planned_stop);
+        bool is_counted{false};
+        l.w.log_to = [&is_counted](const std::string& line) {
+            is_counted = is_counted || line.find("possible_crashes=4") != std::string::npos;
+        };
+        for (const instant end = l.w.now() + restart_limit(last_down);
+             !is_counted && l.w.now() < end;) {
+            l.run_for(look);
+        }
+        cr_assert(is_counted);
+        l.run_for({lost_after});
+        l.end_scheduler(vm_end::kill);
+        cr_expect(l.runs_within(restart_limit(down)), "killed %ld ms after the count",
+                  static_cast<long>(lost_after));
+        expect_no_violation(l.w);
+    }
+}
+
+/// A run that lapsed on a runner that was only cut off counted as a fifth crash, as its holder was
+/// lost (soak, seed 6019).
+Test(central_crash_loops, service_whose_runner_was_cut_off_after_crashes_runs_again)
+{
+    constexpr millis down{1'400};
+    constexpr millis cut{20'000};
+    for (const vm_end how : {vm_end::planned_stop, vm_end::kill}) {
+        crash_loop l{1};
+        for (int i{1}; i <= 4; ++i) {
+            l.run_for({150});
+            l.crash_runner(down);
+            cr_assert(l.runs_within(restart_limit(down)));
+        }
+        l.run_for({150});
+        l.w.faults.unreachable_runners.insert(0);
+        l.end_scheduler(how);
+        l.run_for(cut);
+        l.w.faults.unreachable_runners.erase(0);
+        cr_expect(l.runs_within(restart_limit(down)), "%s",
+                  how == vm_end::kill ? "kill" : "planned stop");
+        expect_no_violation(l.w);
+    }
+}
+
 /// A task at fault crashes no more runners than users accept, whoever holds the lease, and those
 /// that ran beside it run again.
 Test(central_crash_loops, service_at_fault_is_held_back_although_the_lease_moves)
