Retry-After that the scheduler gives is the shortest, spread upwards only

The VM that answers the caller replaced it by 1 or 2 s, so a caller that a quota or a backlog sends away came back too soon and was refused again. It is now the minimum, in whole seconds, spread up to twice as long; without one the answers are 1 or 2 s as before. A peer's answer is no longer jittered on its way, as the VM of the caller does that. The new test fails without the change (one value instead of five).

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -294,8 +294,8 @@
 /// Time for which a call that was certainly not accepted waits for a scheduler before it is
 /// refused.
 inline constexpr millis max_wait_for_scheduler{700};
-/// Retry-After of a refused call, multiplied by 1 to `retry_after_steps` to spread the retries. In
-/// whole seconds, the resolution of the answer to callers.
+/// Shortest Retry-After of a refused call, and the least number of different ones, a second apart,
+/// over which the retries are spread. In whole seconds, the resolution of the answer to callers.
 inline constexpr millis retry_after{1'000};
 inline constexpr std::uint64_t retry_after_steps{2};
 
--- a/src/central/entry/entry.cpp
+++ b/src/central/entry/entry.cpp
@@ -225,16 +225,22 @@
     return number ^ (number >> half);
 }
 
-/// \return the answer with a jittered `retry_after`, so that refused callers do not retry all at
-/// once.
+/// \return a refusal to a caller with a jittered `retry_after`, so that refused callers do not
+/// retry all at once: never shorter than the answer has it, and in whole seconds, up to twice as
+/// long. A peer jitters by itself.
 call_answer with_jittered_retry_after(const open_call& call, call_handle handle, call_answer a)
 {
     const bool has_retry_after =
         a.result == call_result::unavailable || a.result == call_result::overloaded;
-    if (has_retry_after) {
-        const std::uint64_t step = call_hash(call, handle) % config::retry_after_steps;
-        a.retry_after = config::retry_after * static_cast<std::int64_t>(step + 1);
+    if (!has_retry_after || call.from_peer) {
+        return a;
     }
+    constexpr std::int64_t ms_per_second{1'000};
+    const millis shortest = std::max(a.retry_after, config::retry_after);
+    const std::int64_t seconds = (shortest.count + ms_per_second - 1) / ms_per_second;
+    const auto steps = std::max(static_cast<std::uint64_t>(seconds), config::retry_after_steps);
+    const auto step = static_cast<std::int64_t>(call_hash(call, handle) % steps);
+    a.retry_after = millis{(seconds + step) * ms_per_second};
     return a;
 }
 
--- a/tests/test_central_entry.cpp
+++ b/tests/test_central_entry.cpp
@@ -69,6 +69,13 @@
         handle_event(ended);
     }
 
+    /// Ends the forwarded call with a refusal that says when to come back.
+    void end_with_refusal(call_result result, millis retry_after)
+    {
+        handle_event(peer_call_ended{handle, true,
+                                     call_answer{.result = result, .retry_after = retry_after}});
+    }
+
     /// Delivers a submission forwarded by a peer.
     void receive_from_peer()
     {
@@ -220,6 +227,24 @@
     }
 }
 
+/// A quota or a backlog says after which time to come back. A caller that came sooner would only be
+/// refused again.
+Test(central_entry, retry_after_of_the_scheduler_is_the_shortest)
+{
+    constexpr std::int64_t ms_per_second{1'000};
+    constexpr std::int64_t shortest{5'000};
+    std::map<std::int64_t, std::uint64_t> count;
+    for (std::uint64_t job{0}; job < 200; ++job) {
+        entry_vm vm;
+        vm.submit(job);
+        vm.end_with_refusal(call_result::overloaded, {shortest - 300});
+        ++count[vm.last_retry_after().count];
+    }
+    cr_assert_eq(count.size(), static_cast<std::size_t>(shortest / ms_per_second));
+    cr_assert_eq(count.begin()->first, shortest);
+    cr_assert(count.rbegin()->first < 2 * shortest);
+}
+
 /// Without the store a VM does not learn that the lease has moved. Callers are sent to other VMs
 /// until it finds a scheduler again.
 Test(central_entry, vm_without_store_and_scheduler_is_not_ready)
