Steps whose job can still meet its objective may start first

Under load that stays a little above the room, order by deadline alone makes each job late, and then the next one.

--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -57,6 +57,8 @@
     setting{"link-mbit", "1000", "central: bandwidth of this VM's link in Mbit/s, above 0"},
     setting{"deadline-admission", "off",
             "central: on or off: refuse jobs that cannot end by their deadline"},
+    setting{"attainable-first", "off",
+            "central: on or off: start first what can still meet its objective"},
     setting{"preemption", "off",
             "central: on or off: let urgent tasks that fit nowhere stop less urgent ones"},
     setting{"run-time-correction", "off",
@@ -232,8 +234,8 @@
     settings s;
     s.mode = mode;
     const auto& [vm, fd, http, peer, platform, threads, level, scheduling, readiness, max_hold,
-                 keep_ended, core_share, link_mbit, admission, preemption, correction, lookahead] =
-        setting_list;
+                 keep_ended, core_share, link_mbit, admission, attainable_first, preemption,
+                 correction, lookahead] = setting_list;
     s.vm.value = reader.name(vm);
     s.failure_domain.value = reader.name(fd);
     s.http = reader.address(http);
@@ -251,6 +253,7 @@
     s.capacity.milli_cores = reader.thousandths(core_share, max_core_share);
     s.capacity.link_kbit_per_s = reader.thousandths(link_mbit, max_link_mbit);
     s.options.deadline_admission = reader.flag(admission);
+    s.options.attainable_first = reader.flag(attainable_first);
     s.options.preemption = reader.flag(preemption);
     s.options.run_time_correction = reader.flag(correction);
     s.options.lookahead = reader.flag(lookahead);
@@ -310,6 +313,7 @@
             << "\nlink-mbit="
             << static_cast<double>(s.capacity.link_kbit_per_s) / thousandths_per_unit
             << "\ndeadline-admission=" << on_or_off(s.options.deadline_admission)
+            << "\nattainable-first=" << on_or_off(s.options.attainable_first)
             << "\npreemption=" << on_or_off(s.options.preemption)
             << "\nrun-time-correction=" << on_or_off(s.options.run_time_correction)
             << "\nlookahead=" << on_or_off(s.options.lookahead) << "\n";
--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -167,6 +167,11 @@
 inline constexpr millis max_restart_interval{4'000};
 
 // Placement.
+/// A job that ends later than this many times its objective is of no use to its caller.
+inline constexpr std::int64_t late_bound_objectives{3};
+/// Time that a job is expected to need beyond its expected run times, in percent of them: the last
+/// task of a step ends later than most.
+inline constexpr std::int64_t attainable_margin_percent{25};
 /// Minimum time between placement rounds if no step became ready in between.
 inline constexpr millis placement_interval{10};
 /// Runners that placement may score per millisecond of a core's time for tasks that do not start.
--- a/include/cuminmoor/central/options.h
+++ b/include/cuminmoor/central/options.h
@@ -8,6 +8,9 @@
 struct scheduling_options {
     /// Submissions that cannot end by their deadline, given what was accepted before, are refused.
     bool deadline_admission{false};
+    /// Among tasks of one priority, those start first whose job can still meet its objective, and
+    /// of these the ones whose job has begun.
+    bool attainable_first{false};
     /// Urgent tasks that fit nowhere may stop less urgent ones.
     bool preemption{false};
     /// Run times that owners estimate are corrected by the ends that were seen.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -211,6 +211,8 @@
     graph_job spec;
     /// Image number of each step; set when the job's occurrences are started.
     std::vector<image_number> images;
+    /// Of each step, see urgency.h; set when first needed.
+    std::vector<millis> times_to_end;
     /// Settings of the job's queue, as last read from the manifest.
     queue queue_settings;
     std::vector<occurrence_record> occurrences;
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -16,6 +16,7 @@
 #include "central/placement/reservations.h"
 #include "central/placement/run_times.h"
 #include "central/placement/runner_selector.h"
+#include "central/placement/urgency.h"
 #include "central/runs/crashes.h"
 #include "central/runs/restarts.h"
 #include "central/runs/run_orders.h"
--- a/src/central/placement/placement.cpp
+++ b/src/central/placement/placement.cpp
@@ -456,7 +456,7 @@
     }
     s.round_began_at = c.now;
     placement_round round = begin_round(c);
-    const std::vector<ready_key> order{s.ready.begin(), s.ready.end()};
+    const std::vector<ready_key> order = steps_by_urgency(c);
     for (const ready_key& key : order) {
         place_step(round, key);
     }
--- a/tests/test_daemon_settings.cpp
+++ b/tests/test_daemon_settings.cpp
@@ -78,6 +78,7 @@
     const auto plain = io::parse_settings(flags);
     cr_assert(plain.ok());
     cr_assert_not(plain->options.deadline_admission);
+    cr_assert_not(plain->options.attainable_first);
     cr_assert_not(plain->options.preemption);
     cr_assert_not(plain->options.run_time_correction);
     cr_assert_not(plain->options.lookahead);
