What has begun goes before what can still be in time

With what is attainable as the first criterion, jobs that had got most of their room were set aside as soon as they could only be late, and their work with them.

--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -58,7 +58,7 @@
     setting{"deadline-admission", "off",
             "central: on or off: refuse jobs that cannot end by their deadline"},
     setting{"attainable-first", "off",
-            "central: on or off: start first what can still meet its objective"},
+            "central: on or off: start first what has begun, then what can be in time"},
     setting{"preemption", "off",
             "central: on or off: let urgent tasks that fit nowhere stop less urgent ones"},
     setting{"run-time-correction", "off",
--- a/include/cuminmoor/central/options.h
+++ b/include/cuminmoor/central/options.h
@@ -8,8 +8,8 @@
 struct scheduling_options {
     /// Submissions that cannot end by their deadline, given what was accepted before, are refused.
     bool deadline_admission{false};
-    /// Among tasks of one priority, those start first whose job can still meet its objective, and
-    /// of these the ones whose job has begun.
+    /// Among tasks of one priority, those of jobs that have begun start first, then those whose job
+    /// can still meet its objective.
     bool attainable_first{false};
     /// Urgent tasks that fit nowhere may stop less urgent ones.
     bool preemption{false};
--- a/src/central/placement/urgency.cpp
+++ b/src/central/placement/urgency.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Order of the waiting steps. Answers load that stays a little above the room that there is:
-/// served by deadline alone, each job waits until it is late, and so does the next one. Jobs that
-/// can still meet their objective go first, and of these the ones that have begun; the others share
+/// served by deadline alone, each job waits until it is late, and so does the next one. What has
+/// begun is finished first, then jobs begin that can still meet their objective; the others share
 /// what is left.
 ///
 /// Nothing is stored: a new holder of the lease finds the same order from the jobs and their runs.
@@ -78,7 +78,7 @@
     if (!ref) {
         return {.priority = key.priority};
     }
-    return {key.priority, attainable_for_step(c, ref, key.step), !has_begun(ref)};
+    return {key.priority, !has_begun(ref), attainable_for_step(c, ref, key.step)};
 }
 
 std::vector<ready_key> steps_by_urgency(const context& c)
--- a/src/central/placement/urgency.h
+++ b/src/central/placement/urgency.h
@@ -16,9 +16,9 @@
 /// How urgent a step is; less is more urgent. Steps of the same urgency are served by deadline.
 struct urgency {
     std::int32_t priority{0};
-    attainable reach{attainable::objective};
     /// No earlier step of the job has ended, and less than half of this one's tasks have started.
     bool is_new{false};
+    attainable reach{attainable::objective};
 
     auto operator<=>(const urgency&) const = default;
 };
--- a/tests/test_central_urgency.cpp
+++ b/tests/test_central_urgency.cpp
@@ -125,8 +125,12 @@
     job_record& begun = f.add_waiting_job("b", 1, {100});
     begun.occurrences[0].steps[0].ready = 2;
     cr_expect_str_eq(f.order().c_str(), "ba");
+    f.now = f.now + millis{10'000};
+    cr_expect_str_eq(f.order().c_str(), "ba", "what has begun is finished also when it is late");
     begun.occurrences[0].steps[0].ready = 3;
     cr_expect_str_eq(f.order().c_str(), "ab");
+    f.now = f.now - millis{10'000};
+    cr_expect_str_eq(f.order().c_str(), "ab");
 }
 
 Test(central_urgency, priority_comes_first_and_services_and_repeated_jobs_are_never_late)
