--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -170,6 +170,11 @@
 inline constexpr millis max_restart_interval{4'000};
 
 // Placement.
+/// A job that ends later than this many times its objective is of no use to its caller.
+inline constexpr std::int64_t late_bound_objectives{3};
+/// Time that a job is expected to need beyond its expected run times, in percent of them: the last
+/// task of a step ends later than most.
+inline constexpr std::int64_t attainable_margin_percent{25};
 /// Minimum time between placement rounds if no step became ready in between.
 inline constexpr millis placement_interval{10};
 /// Runners that placement may score per millisecond of a core's time for tasks that do not start.
@@ -297,8 +302,8 @@
 /// Time for which a call that was certainly not accepted waits for a scheduler before it is
 /// refused.
 inline constexpr millis max_wait_for_scheduler{700};
-/// Retry-After of a refused call, multiplied by 1 to `retry_after_steps` to spread the retries. In
-/// whole seconds, the resolution of the answer to callers.
+/// Shortest Retry-After of a refused call, and the least number of different ones, a second apart,
+/// over which the retries are spread. In whole seconds, the resolution of the answer to callers.
 inline constexpr millis retry_after{1'000};
 inline constexpr std::uint64_t retry_after_steps{2};
 
--- a/src/central/organisations/shares.cpp
+++ b/src/central/organisations/shares.cpp
@@ -27,8 +27,9 @@
 
 } // namespace
 
-step_turns::step_turns(const context& c, const resources& total)
-    : c_{c}, total_{total}, steps_{c.s.scheduler.ready.begin(), c.s.scheduler.ready.end()}
+step_turns::step_turns(const context& c, const resources& total,
+                       const std::vector<ready_key>& steps)
+    : c_{c}, total_{total}, steps_{steps}
 {
     if (!c.s.scheduler.organisations.empty()) {
         count_weights();
--- a/src/central/organisations/shares.h
+++ b/src/central/organisations/shares.h
@@ -27,7 +27,8 @@
 class step_turns {
 public:
     /// \param total capacity of the runners.
-    step_turns(const context& c, const resources& total);
+    /// \param steps those with ready tasks, by priority and then by urgency; must outlive this.
+    step_turns(const context& c, const resources& total, const std::vector<ready_key>& steps);
 
     /// \return the next step, or null after the last. What has been started since the last call
     /// counts.
@@ -56,8 +57,7 @@
 
     const context& c_;
     resources total_;
-    /// Copies, as a start changes the set of the state.
-    std::vector<ready_key> steps_;
+    const std::vector<ready_key>& steps_;
     std::size_t position_{0};
     double active_weight_{0};
     std::vector<excess> excess_;
--- a/src/central/placement/placement.cpp
+++ b/src/central/placement/placement.cpp
@@ -475,12 +475,12 @@
     }
     s.round_began_at = c.now;
     placement_round round = begin_round(c);
-    const std::size_t steps = s.ready.size();
-    step_turns turns{c, total_capacity(round.runners)};
+    const std::vector<ready_key> order = steps_by_urgency(c);
+    step_turns turns{c, total_capacity(round.runners), order};
     while (const ready_key* const key = turns.next()) {
         place_step(round, *key, turns);
     }
-    end_round(round, steps);
+    end_round(round, order.size());
 }
 
 void end_step(central_state& s, instant now)
