--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -192,6 +192,24 @@
 /// Users consider a job forgotten after 3 s.
 inline constexpr millis starvation_timeout{1'500};
 
+// Look-ahead.
+/// Share of a runner's capacity, in percent, from which room is kept for a task: smaller ones find
+/// gaps soon.
+inline constexpr std::int64_t large_task_percent{20};
+/// Most runners on which room is kept at a time, and most for which it is kept anew in one round.
+inline constexpr std::size_t max_reservations{32};
+inline constexpr std::size_t max_new_reservations{4};
+/// Room that is expected later than this is not kept yet.
+inline constexpr millis max_reservation_wait{3'000};
+/// Room that has not been used for this long is given up.
+inline constexpr millis max_reservation_time{5'000};
+/// Reservations are revised at least this often.
+inline constexpr millis reservation_check_period{200};
+/// Time by which a run is expected to exceed its estimate, in percent, when it must end before
+/// another task starts; and time from its end until the room can be used.
+inline constexpr std::int64_t backfill_margin_percent{50};
+inline constexpr millis run_end_delay{50};
+
 // Services that ran before and have no run.
 /// Placement offers them to the runners at least this often.
 inline constexpr millis service_check_period{100};
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -274,6 +274,25 @@
     instant expected_room_at;
 };
 
+/// Room that is kept on a runner for a waiting task of a step, see lookahead.cpp.
+struct room_reservation {
+    ready_key step;
+    /// Of one task.
+    resources size;
+    instant made_at;
+    /// When the runner is expected to have the room.
+    instant expected_at;
+};
+
+/// What look-ahead has done since the lease was won.
+struct lookahead_counts {
+    std::uint64_t made{0};
+    std::uint64_t used{0};
+    std::uint64_t given_up{0};
+    /// Starts of other tasks in room that was kept, as they end before.
+    std::uint64_t backfilled{0};
+};
+
 // ---- Runners -------------------------------------------------------------------------------
 
 /// A reading of a runner's clock: at local time `seen_at` it showed at least `shown`.
@@ -319,6 +338,9 @@
     resources reserved;
     std::size_t runs{0};
     resources kept_for_services;
+    /// For a large task, and from when on.
+    resources kept_for_large;
+    instant kept_from;
     std::int64_t leftover_milli_cores{0};
     std::int64_t service_milli_cores{0};
     std::uint32_t benign_pace{0};
@@ -379,6 +401,8 @@
     /// Free room that is kept for waiting services, see reservations.cpp; no other task starts in
     /// it.
     resources kept_for_services;
+    /// Room that is kept for a large task. Set exactly for `scheduler_state::reserved_runners`.
+    std::optional<room_reservation> reservation;
     /// Expected rise of the tail latency of its services, in percent of their target, caused by
     /// leftover tasks at full speed: by benign tasks and by antagonists. Antagonists are leftover
     /// tasks with a high expected rise, see `is_antagonist`. The most affected service image
@@ -723,6 +747,11 @@
     std::optional<instant> service_pass_began_at;
     /// Position of the first unchanged runner that the next round offers once more.
     std::size_t next_reoffered_runner{0};
+    /// Runners on which room is kept for large tasks, and on how many of them for each step.
+    std::set<runner_id> reserved_runners;
+    std::map<ready_key, std::uint32_t> reserved_steps;
+    instant reservations_check_at;
+    lookahead_counts lookahead;
     /// Number of placement rounds since the lease was won.
     std::uint64_t placement_rounds{0};
     /// Number of runners scored for a task since the lease was won.
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -14,6 +14,8 @@
 #include "central/placement/placement.h"
 #include "central/placement/relocation.h"
 #include "central/placement/reservations.h"
+#include "central/placement/lookahead.h"
+#include "central/placement/room_estimates.h"
 #include "central/placement/run_times.h"
 #include "central/placement/runner_selector.h"
 #include "central/runs/crashes.h"
--- a/src/central/placement/placement.cpp
+++ b/src/central/placement/placement.cpp
@@ -2,6 +2,7 @@
 /// Rounds in which ready tasks are placed on runners: steps in order of urgency, and rejected steps
 /// only on runners that have changed.
 #include "central/lease/handover.h"
+#include "central/placement/lookahead.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -41,6 +42,8 @@
     std::uint64_t scored_for_rejections{0};
     /// Some steps were not offered all runners.
     bool is_incomplete{false};
+    /// Steps that no runner could take, most urgent first.
+    std::vector<ready_key> rejected;
 
     [[nodiscard]] std::uint64_t number() const { return c.s.scheduler.placement_rounds; }
     [[nodiscard]] std::uint64_t scored_in_vain() const
@@ -59,11 +62,19 @@
 
 runner_offer offer_of(const runner_record& r)
 {
-    return {r.entry.capacity,       r.reserved,
-            r.runs.size(),          r.kept_for_services,
-            r.leftover_milli_cores, r.service_milli_cores,
-            r.benign_pace,          r.latency_rise_budget,
-            r.benign_latency_rise,  r.antagonist_latency_rise};
+    const room_reservation kept = r.reservation.value_or(room_reservation{});
+    return {r.entry.capacity,
+            r.reserved,
+            r.runs.size(),
+            r.kept_for_services,
+            kept.size,
+            kept.expected_at,
+            r.leftover_milli_cores,
+            r.service_milli_cores,
+            r.benign_pace,
+            r.latency_rise_budget,
+            r.benign_latency_rise,
+            r.antagonist_latency_rise};
 }
 
 /// Finds the runners to offer to steps that were rejected before: as many as keep the round within
@@ -105,7 +116,7 @@
 {
     ++c.s.scheduler.placement_rounds;
     placement_round round{
-        .c = c, .runners = schedulable_runners(c), .changed = {}, .postponed = {}};
+        .c = c, .runners = schedulable_runners(c), .changed = {}, .postponed = {}, .rejected = {}};
     find_changed_runners(c, round);
     return round;
 }
@@ -170,6 +181,7 @@
 void start_task(const context& c, const graph_task_id& id, const task_ref& ref, runner_record& r)
 {
     begin_suspect_run(c, ref);
+    note_reserved_start(c, r, id, ref);
     start_run(c, id, ref, r, next_run_number(c, *ref.task));
 }
 
@@ -345,6 +357,7 @@
         const bool is_ready = tasks[id.index].status == task_status::ready &&
                               !round.c.s.scheduler.waiting_services.contains(id);
         if (is_ready && !place_task(round, id)) {
+            round.rejected.push_back(key);
             start_if_starved(round, id, *first.job);
             return;
         }
@@ -436,6 +449,7 @@
         return;
     }
     place_waiting_services(c);
+    s.placement_due = s.placement_due || must_revise_reservations(c);
     // What is free is theirs first.
     if (!s.placement_due || s.services_due) {
         return;
@@ -451,6 +465,7 @@
     s.placement_due = false;
     s.has_new_ready = false;
     s.last_placement_at = c.now;
+    revise_reservations(c);
     if (s.ready.empty()) {
         return;
     }
@@ -460,6 +475,9 @@
     for (const ready_key& key : order) {
         place_step(round, key);
     }
+    if (c.s.self.options.lookahead) {
+        reserve_room(c, round.runners, round.rejected);
+    }
     end_round(round, order.size());
 }
 
--- a/src/central/placement/runner_selector.cpp
+++ b/src/central/placement/runner_selector.cpp
@@ -2,6 +2,7 @@
 /// Selection of a runner for a task: the feasible one with the highest score, which usually has the
 /// most spare processor time.
 #include "central/lease/handover.h"
+#include "central/placement/lookahead.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -53,11 +54,13 @@
                                       : remaining_budget >= rise;
 }
 
-bool has_capacity(const context& c, const runner_record& r, const task_ref& ref,
-                  runner_requirement requirement)
+bool has_capacity(const context& c, const runner_record& r, const graph_task_id& id,
+                  const task_ref& ref, runner_requirement requirement)
 {
     const graph_step& step = *ref.step;
-    const resources kept = is_returning_service(ref) ? resources{} : r.kept_for_services;
+    const resources kept = is_returning_service(ref)
+                               ? resources{}
+                               : r.kept_for_services + room_kept_from(c, r, id, ref);
     const resources taken = r.reserved + kept;
     if (!step.uses_leftover) {
         return (taken + step.task_size).fits(r.entry.capacity);
@@ -101,6 +104,16 @@
     return same - others;
 }
 
+/// \return the preference among runners that are equally suitable otherwise.
+std::int64_t spare_score(const context& c, const runner_record& r, const task_ref& ref)
+{
+    if (ref.step->is_service) {
+        return image_affinity(r, ref);
+    }
+    const bool is_packed = c.s.self.options.lookahead && !ref.step->uses_leftover;
+    return is_packed ? packing_score(r, ref.step->task_size) : spare_milli_cores(r);
+}
+
 placement_score score(const context& c, const runner_record& r, const task_ref& ref)
 {
     const graph_step& step = *ref.step;
@@ -113,7 +126,7 @@
     }
     s.is_near_data = step.data_rack.empty() || has_label(r.entry, step.data_rack);
     s.is_benign = step.is_service || !is_antagonist(c.s, r, ref);
-    s.spare_capacity = step.is_service ? image_affinity(r, ref) : spare_milli_cores(r);
+    s.spare_capacity = spare_score(c, r, ref);
     return s;
 }
 
@@ -153,17 +166,21 @@
 bool is_feasible(const context& c, const runner_record& r, const graph_task_id& id,
                  const task_ref& ref, runner_requirement requirement)
 {
-    return !r.probation_until && has_capacity(c, r, ref, requirement) &&
+    return !r.probation_until && has_capacity(c, r, id, ref, requirement) &&
            meets_constraints(r, id, ref);
 }
 
-runner_selector::requirement_key runner_selector::requirement_key_of(const task_ref& ref,
-                                                                     runner_requirement requirement)
+runner_selector::requirement_key
+runner_selector::requirement_key_of(const task_ref& ref, runner_requirement requirement) const
 {
     const graph_step& step = *ref.step;
     // The image only matters for leftover tasks, as it determines the expected disturbance.
     const image_number image = step.uses_leftover ? ref.image : 0;
-    return {image, step.uses_leftover, requirement, ref.job->queue_settings.service.value,
+    return {image,
+            step.uses_leftover,
+            requirement,
+            run_time_class(c_, ref),
+            ref.job->queue_settings.service.value,
             step.required_label};
 }
 
@@ -216,7 +233,9 @@
                                               const graph_task_id& id, const task_ref& ref,
                                               runner_requirement requirement)
 {
-    if (!may_fit(ref, requirement)) {
+    // What others must leave free for it tells nothing about it.
+    const bool is_reserved = has_reservation(c_, id, ref);
+    if (!is_reserved && !may_fit(ref, requirement)) {
         return nullptr;
     }
     runner_record* best{nullptr};
@@ -232,7 +251,7 @@
             best_score = s;
         }
     }
-    if (best == nullptr) {
+    if (best == nullptr && !is_reserved) {
         record_rejected_size(ref, requirement);
     }
     return best;
--- a/src/central/placement/runner_selector.h
+++ b/src/central/placement/runner_selector.h
@@ -61,10 +61,11 @@
 private:
     /// All attributes that decide where a task is feasible, except its size. The strings belong to
     /// the task's job, which must outlive the selector.
-    using requirement_key =
-        std::tuple<image_number, bool, runner_requirement, std::string_view, std::string_view>;
+    using requirement_key = std::tuple<image_number, bool, runner_requirement, std::uint32_t,
+                                       std::string_view, std::string_view>;
 
-    static requirement_key requirement_key_of(const task_ref& ref, runner_requirement requirement);
+    [[nodiscard]] requirement_key requirement_key_of(const task_ref& ref,
+                                                     runner_requirement requirement) const;
     void record_rejected_size(const task_ref& ref, runner_requirement requirement);
 
     const context& c_;
--- a/src/central/runs/runners.cpp
+++ b/src/central/runs/runners.cpp
@@ -458,6 +458,7 @@
             if (r.stored) {
                 c.s.scheduler.commits.runners_to_remove.push_back(it->first);
             }
+            give_up_reservation(c, it->second, "runner_removed");
             it = runners.erase(it);
             continue;
         }
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -591,7 +591,8 @@
         return behaviour;
     }
     const graph_step& step = found->second.job.steps[order.task.step];
-    behaviour.run_time = step.run_time;
+    const double run_time = static_cast<double>(step.run_time.count) * run_time_factor;
+    behaviour.run_time = {static_cast<std::int64_t>(run_time)};
     behaviour.is_service = step.is_service;
     behaviour.exits = exiting_jobs.contains(order.task.job.value);
     behaviour.fails = failing_jobs.contains(order.task.job.value);
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -171,6 +171,8 @@
     /// Jobs whose service tasks end by themselves after their run time, as done or, if they are
     /// among `failing_jobs`, as failed.
     std::set<std::string> exiting_jobs;
+    /// Run times of all tasks, divided by what their owners estimate.
+    double run_time_factor{1};
     /// Writes a row of the store, as a process of an earlier version may have left it.
     void put_row(const table_key& row, const std::string& value);
     /// Tasks that crash each runner that starts them; the runner is back after `crash_downtime`.
