Look-ahead: leftover tasks share what is known of rejected sizes

Cause: a class of run times for each rejected size made rounds score more runners, so that pauses between rounds grew. Change: classes only for tasks that need reserved room, while any is kept.

--- a/src/central/placement/lookahead.cpp
+++ b/src/central/placement/lookahead.cpp
@@ -317,11 +317,12 @@
 
 std::uint32_t run_time_class(const context& c, const task_ref& ref)
 {
-    if (!c.s.self.options.lookahead) {
+    const bool has_gaps = !c.s.scheduler.reserved_runners.empty();
+    if (!has_gaps || ref.step->is_service || ref.step->uses_leftover) {
         return 0;
     }
     const auto ms = static_cast<std::uint64_t>(expected_run_time(c.s, ref).count);
-    return ref.step->is_service ? 0 : static_cast<std::uint32_t>(std::bit_width(ms));
+    return static_cast<std::uint32_t>(std::bit_width(ms));
 }
 
 } // namespace cuminmoor::central
--- a/src/central/placement/lookahead.h
+++ b/src/central/placement/lookahead.h
@@ -50,7 +50,7 @@
 /// kind that it needs most, so that large gaps stay whole.
 std::int64_t packing_score(const runner_record& r, const resources& size);
 /// \return a number that is the same for tasks of similar run times, as the gaps that are open to
-/// them differ; 0 without look-ahead.
+/// them differ; 0 for services and leftover tasks, and while no room is kept.
 std::uint32_t run_time_class(const context& c, const task_ref& ref);
 
 } // namespace cuminmoor::central
