--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -59,12 +59,8 @@
     setting{"core-share", "1",
             "central: processor share of this VM in cores, fractions allowed, above 0 to 1024"},
     setting{"link-mbit", "1000", "central: bandwidth of this VM's link in Mbit/s, above 0"},
-    setting{"deadline-admission", "off",
-            "central: on or off: refuse jobs that cannot end by their deadline"},
     setting{"attainable-first", "off",
             "central: on or off: start first what has begun, then what can be in time"},
-    setting{"preemption", "off",
-            "central: on or off: let urgent tasks that fit nowhere stop less urgent ones"},
     setting{"run-time-correction", "off",
             "central: on or off: correct estimated run times by the ends that were seen"},
     setting{"lookahead", "off",
@@ -254,8 +250,8 @@
     settings s;
     s.mode = mode;
     const auto& [vm, fd, http, peer, platform, threads, level, scheduling, readiness, max_hold,
-                 keep_ended, core_share, link_mbit, admission, attainable_first, preemption,
-                 correction, lookahead, memory, descriptors] = setting_list;
+                 keep_ended, core_share, link_mbit, attainable_first, correction, lookahead, memory,
+                 descriptors] = setting_list;
     s.vm.value = reader.name(vm);
     s.failure_domain.value = reader.name(fd);
     s.http = reader.address(http);
@@ -272,9 +268,7 @@
     s.keep_ended = {reader.number(keep_ended, max_keep_ended_s) * ms_per_second};
     s.capacity.milli_cores = reader.thousandths(core_share, max_core_share);
     s.capacity.link_kbit_per_s = reader.thousandths(link_mbit, max_link_mbit);
-    s.options.deadline_admission = reader.flag(admission);
     s.options.attainable_first = reader.flag(attainable_first);
-    s.options.preemption = reader.flag(preemption);
     s.options.run_time_correction = reader.flag(correction);
     s.options.lookahead = reader.flag(lookahead);
     s.memory_bytes = reader.size(memory, min_memory_mb) * bytes_per_mb;
@@ -334,9 +328,7 @@
             << "\ncore-share=" << static_cast<double>(s.capacity.milli_cores) / thousandths_per_unit
             << "\nlink-mbit="
             << static_cast<double>(s.capacity.link_kbit_per_s) / thousandths_per_unit
-            << "\ndeadline-admission=" << on_or_off(s.options.deadline_admission)
             << "\nattainable-first=" << on_or_off(s.options.attainable_first)
-            << "\npreemption=" << on_or_off(s.options.preemption)
             << "\nrun-time-correction=" << on_or_off(s.options.run_time_correction)
             << "\nlookahead=" << on_or_off(s.options.lookahead)
             << "\nmemory-mb=" << s.memory_bytes / bytes_per_mb
