--- a/bench/busy_loop_bench.cpp
+++ b/bench/busy_loop_bench.cpp
@@ -93,7 +93,7 @@
         for (std::uint64_t n{1}; n <= l.ready_steps; ++n) {
             step(peer_call_received{
                 {n},
-                {call_kind::submit, {"q"}, 1, job_of_own_size(n).id, job_of_own_size(n), {}},
+                {call_kind::submit, {"q"}, 1, job_of_own_size(n).id, job_of_own_size(n), {}, {}},
                 {3'000}});
         }
     }
