Calls to a former holder go to the new one; new jobs refused while the store is silent

Queries without an answer counted as open, too. Now: the forward is given up once the row names another VM; jobs in no open transaction are refused after 0.7 s without its outcome, later ones at once; reads are refused.

--- a/daemon/central_peers.cpp
+++ b/daemon/central_peers.cpp
@@ -26,10 +26,10 @@
     return timeout;
 }
 
-central::peer_call_ended make_peer_call_ended(central::call_handle handle,
+central::peer_call_ended make_peer_call_ended(central::call_handle handle, std::uint32_t attempt,
                                               const http_result& result)
 {
-    central::peer_call_ended ended{handle, result.outcome != http_outcome::not_sent, {}};
+    central::peer_call_ended ended{handle, attempt, result.outcome != http_outcome::not_sent, {}};
     constexpr int http_ok{200};
     if (result.outcome == http_outcome::answered && result.status == http_ok) {
         auto answer = central::decode_answer(result.body);
@@ -73,9 +73,10 @@
     // a resent one says. So the reducer submits again, not the HTTP client.
     call.resendable = e.call.kind != central::call_kind::submit;
     call.is_urgent = e.call.kind == central::call_kind::cancel;
-    dependencies_.http.start(std::move(call), [this, handle = e.handle](const http_result& result) {
-        dependencies_.sink.post(make_peer_call_ended(handle, result));
-    });
+    dependencies_.http.start(
+        std::move(call), [this, handle = e.handle, attempt = e.attempt](const http_result& result) {
+            dependencies_.sink.post(make_peer_call_ended(handle, attempt, result));
+        });
 }
 
 bool central_peers::answer(const central::answer_call& e)
--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -76,6 +76,9 @@
 inline constexpr millis commit_retry{100};
 /// New jobs that wait for a commit are refused once commits have failed for this long.
 inline constexpr millis max_commit_failure_time{500};
+/// New jobs that are in no commit are refused once the open commit has had no outcome for this
+/// long.
+inline constexpr millis max_wait_for_store{700};
 /// A job usually takes two rows; the store allows 100 entries per transaction.
 inline constexpr std::size_t max_jobs_per_commit{45};
 inline constexpr std::size_t max_rows_per_commit{95};
--- a/include/cuminmoor/central/event.h
+++ b/include/cuminmoor/central/event.h
@@ -101,6 +101,8 @@
 /// Event: a forwarded call ended, with the peer's answer if one arrived.
 struct peer_call_ended {
     call_handle handle;
+    /// As in the `peer_call`.
+    std::uint32_t attempt{0};
     /// False when no byte of the call left this process.
     bool sent{true};
     std::optional<call_answer> answer;
@@ -109,6 +111,8 @@
 /// Effect: forward a call to the scheduler's VM.
 struct peer_call {
     call_handle handle;
+    /// Number of this attempt to forward the call.
+    std::uint32_t attempt{0};
     std::string address;
     job_call call;
     millis timeout;
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -609,6 +609,8 @@
     std::vector<runner_id> removed_runners;
     /// All changes up to this number are stored when the commit succeeds.
     std::uint64_t last_covered_change{0};
+    /// When it was first sent.
+    instant begun_at;
     /// The commit was refused and will be sent again.
     bool resend_pending{false};
     /// An earlier attempt to send the commit may still take effect.
--- a/src/central/entry/entry.cpp
+++ b/src/central/entry/entry.cpp
@@ -96,7 +96,7 @@
     call.last_peer_address = *address;
     call.call.forwarded_by = c.s.self.vm;
     record_forward(c, call);
-    c.add(peer_call{handle, *address, call.call, call.deadline - c.now});
+    c.add(peer_call{handle, call.forwards.count, *address, call.call, call.deadline - c.now});
 }
 
 bool schedules_here(const central_state& s)
@@ -123,6 +123,23 @@
     return has_waited && is_undelivered && !has_new_scheduler(c.s, call);
 }
 
+/// \return true while the call waits for the answer of a VM that no longer schedules. It may be
+/// gone for good without closing its connections.
+bool awaits_former_scheduler(const central_state& s, const open_call& call)
+{
+    return call.forwards.is_in_flight && has_new_scheduler(s, call);
+}
+
+/// Gives the forward in flight up. Sending the call to the new scheduler is safe: it knows the jobs
+/// that the former one accepted, and nothing is stored for the former one any more.
+void abandon_forward(const context& c, open_call& call)
+{
+    log_failed_forward(c, call, "unknown", "superseded");
+    call.forwards.is_in_flight = false;
+    call.dispatched = false;
+    call.maybe_accepted = true;
+}
+
 /// Handles the call here when this VM schedules, otherwise forwards it. The call stays open until
 /// it is answered.
 void route(const context& c, call_handle handle)
@@ -143,13 +160,17 @@
     forward_call(c, handle, call);
 }
 
+/// \return true for a call that changes nothing: whether it was processed does not matter.
+bool is_read_only(const open_call& call)
+{
+    return call.call.kind == call_kind::query || call.call.kind == call_kind::count_pending;
+}
+
 /// Successful polls are not logged: there are too many.
 bool should_log(const open_call& call, call_result result)
 {
-    const bool is_poll =
-        call.call.kind == call_kind::query || call.call.kind == call_kind::count_pending;
     const bool is_plain = result == call_result::state || result == call_result::pending;
-    return !(is_poll && is_plain);
+    return !(is_read_only(call) && is_plain);
 }
 
 /// Adds the durations of the call's last forward, as far as they are known.
@@ -185,11 +206,11 @@
     c.log("call_answered", std::move(fields));
 }
 
-/// \return the answer for a call that timed out: the outcome is unknown if it was dispatched,
-/// otherwise it was certainly not accepted.
+/// \return the answer for a call that timed out: the outcome is unknown if it was dispatched and
+/// may have changed something, otherwise it was certainly not accepted.
 call_answer timeout_answer(const open_call& call)
 {
-    if (call.maybe_accepted || call.dispatched) {
+    if (!is_read_only(call) && (call.maybe_accepted || call.dispatched)) {
         return {.result = call_result::outcome_unknown};
     }
     return make_refusal(call_result::unavailable);
@@ -333,6 +354,9 @@
         return;
     }
     open_call& call = found->second;
+    if (e.attempt != call.forwards.count || !call.forwards.is_in_flight) {
+        return;
+    }
     call.dispatched = false;
     record_forward_end(c, call, e);
     const call_result result = e.answer ? e.answer->result : call_result::outcome_unknown;
@@ -355,7 +379,10 @@
 {
     std::vector<call_handle> to_retry;
     std::vector<call_handle> timed_out;
-    for (const auto& [handle, call] : c.s.calls) {
+    for (auto& [handle, call] : c.s.calls) {
+        if (awaits_former_scheduler(c.s, call)) {
+            abandon_forward(c, call);
+        }
         if (c.now >= call.deadline || is_undelivered_too_long(c, call)) {
             timed_out.push_back(handle);
         }
--- a/src/central/jobs/jobs.cpp
+++ b/src/central/jobs/jobs.cpp
@@ -126,8 +126,7 @@
         return;
     }
     const queue* const q = find_queue(c.s.operators.newest, call.queue);
-    const bool store_fails = !c.s.store_is_reachable || s.commits.failing_since.has_value();
-    if (q == nullptr || store_fails || c.s.lease.releasing) {
+    if (q == nullptr || is_store_failing(c) || c.s.lease.releasing) {
         answer(c, handle, {.result = call_result::unavailable, .retry_after = config::retry_after});
         return;
     }
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -24,3 +24,4 @@
 #include "central/runs/runs.h"
 #include "central/runs/stops.h"
 #include "central/store/commits.h"
+#include "central/store/unstored_jobs.h"
--- a/src/central/reduce.cpp
+++ b/src/central/reduce.cpp
@@ -114,6 +114,7 @@
     check_loading(c);
     if (c.is_scheduler()) {
         check_jobs(c);
+        check_unstored_jobs(c);
     }
     if (c.is_scheduler() && t != nullptr) {
         check_runners(c, t->unread_reports);
--- a/src/central/store/commits.cpp
+++ b/src/central/store/commits.cpp
@@ -203,6 +203,8 @@
     add_used_runners(c, commit);
     remove_used_runners(c, commit);
     add_disturbance(c, commit);
+    commit.begun_at = c.now;
+    c.wake_by(c.now + config::max_wait_for_store);
     commits.open = std::move(commit);
     send_open_commit(c);
 }
@@ -263,33 +265,6 @@
     send_commit(c);
 }
 
-/// Refuses the submissions of a new job that is certainly not stored.
-/// \return true if the job is to be dropped. One that was cancelled is not: the cancellation waits
-/// for the store.
-bool refuse_unstored_job(const context& c, job_record& job)
-{
-    for (const call_handle handle : std::exchange(job.submitters, {})) {
-        answer(c, handle, {.result = call_result::unavailable, .retry_after = config::retry_after});
-    }
-    if (job.has_ended()) {
-        job.state = job_state::withdrawn;
-        return false;
-    }
-    --c.s.scheduler.pending[job.spec.queue];
-    return true;
-}
-
-/// Refuses new jobs that are certainly not stored.
-void reject_unstored_jobs(const context& c)
-{
-    auto& jobs = c.s.scheduler.jobs;
-    for (auto it = jobs.begin(); it != jobs.end();) {
-        const bool is_unstored = it->second.stored == stored_part::nothing;
-        const bool is_dropped = is_unstored && refuse_unstored_job(c, it->second);
-        it = is_dropped ? jobs.erase(it) : std::next(it);
-    }
-}
-
 /// Puts the changes of a commit that certainly did not take effect back at the front of the queue.
 void requeue_changes(const context& c)
 {
--- a/tests/central/central_world.cpp
+++ b/tests/central/central_world.cpp
@@ -327,7 +327,7 @@
     const bool is_unreachable = faults.unreachable_peers.contains({vm, to});
     if (to == vms_.size() || !vms_[to].is_up || is_unreachable) {
         schedule_event(vm, incarnation, is_unreachable ? connect_timeout : network_time,
-                       peer_call_ended{e.handle, false, std::nullopt});
+                       peer_call_ended{e.handle, e.attempt, false, std::nullopt});
         return;
     }
     const std::uint64_t number = ++last_handle_;
@@ -335,7 +335,7 @@
     constexpr std::int64_t latest_break_ms{40};
     const bool is_late = chance(faults.late_peer_calls);
     const bool breaks = is_late || chance(faults.broken_peer_calls);
-    peer_calls_[number] = {vm, incarnation, e.handle, chance(faults.lost_peer_answers)};
+    peer_calls_[number] = {vm, incarnation, e.handle, e.attempt, chance(faults.lost_peer_answers)};
     const millis delay =
         is_late ? millis{static_cast<std::int64_t>(random_() % longest_delay_ms)} : network_time;
     schedule_event(to, vms_[to].incarnation, delay,
@@ -355,7 +355,7 @@
     const peer_origin origin = found->second;
     peer_calls_.erase(found);
     schedule_event(origin.vm, origin.incarnation, after,
-                   peer_call_ended{origin.handle, true, answer});
+                   peer_call_ended{origin.handle, origin.attempt, true, answer});
 }
 
 void central_world::record_submission_result(caller_view& view, call_result result)
--- a/tests/central/central_world.h
+++ b/tests/central/central_world.h
@@ -364,6 +364,7 @@
         std::size_t vm;
         std::uint64_t incarnation;
         call_handle handle;
+        std::uint32_t attempt{0};
         /// The answer is dropped.
         bool answer_is_lost{false};
     };
--- a/tests/test_central_entry.cpp
+++ b/tests/test_central_entry.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr const char* peer_address = "10.0.0.2:7000";
+constexpr const char* new_peer_address = "10.0.0.3:7000";
 constexpr call_handle handle{1};
 
 /// An entry VM with one queue, and a peer that holds the scheduler's lease.
@@ -62,13 +63,39 @@
     /// Ends the forwarded call with the peer's answer, or without one.
     void end_peer_call(std::optional<call_result> result, std::optional<millis> held = std::nullopt)
     {
-        peer_call_ended ended{handle, true, std::nullopt};
+        end_attempt(last_attempt_, result, held);
+    }
+
+    /// Ends one of several attempts to forward the call.
+    void end_attempt(std::uint32_t attempt, std::optional<call_result> result,
+                     std::optional<millis> held = std::nullopt)
+    {
+        peer_call_ended ended{handle, attempt, true, std::nullopt};
         if (result) {
             ended.answer = call_answer{.result = *result, .held = held};
         }
         handle_event(ended);
     }
 
+    /// Another VM has won the lease, as a row of the control table shows.
+    void see_new_holder()
+    {
+        state_.lease.row->address = new_peer_address;
+        state_.lease.row->term = {state_.lease.row->term.value + 1};
+        handle_event(tick{});
+    }
+
+    void query()
+    {
+        caller_call call;
+        call.handle = handle;
+        call.kind = call_kind::query;
+        call.host = "jobs.example";
+        call.path = "/q/" + id_of(1);
+        call.timeout = {3'000};
+        handle_event(call);
+    }
+
     /// Delivers a submission forwarded by a peer.
     void receive_from_peer()
     {
@@ -94,6 +121,8 @@
     /// \return the result of the last answer to the caller, if any.
     [[nodiscard]] std::optional<call_result> last_result() const { return last_result_; }
     [[nodiscard]] millis last_retry_after() const { return last_retry_after_; }
+    [[nodiscard]] const std::string& last_peer_address() const { return last_peer_address_; }
+    [[nodiscard]] std::uint32_t last_attempt() const { return last_attempt_; }
     [[nodiscard]] int peer_calls() const { return peer_calls_; }
     [[nodiscard]] std::optional<millis> last_held() const { return last_held_; }
 
@@ -122,7 +151,11 @@
             if (const auto* line = std::get_if<log_event>(&each)) {
                 lines_.insert_or_assign(line->name, line->fields);
             }
-            peer_calls_ += std::holds_alternative<peer_call>(each) ? 1 : 0;
+            if (const auto* forwarded = std::get_if<peer_call>(&each)) {
+                ++peer_calls_;
+                last_attempt_ = forwarded->attempt;
+                last_peer_address_ = forwarded->address;
+            }
         }
     }
 
@@ -133,6 +166,8 @@
     std::optional<millis> last_held_;
     std::map<std::string, std::vector<log_field>> lines_;
     int peer_calls_{0};
+    std::uint32_t last_attempt_{0};
+    std::string last_peer_address_;
 };
 
 } // namespace
@@ -294,3 +329,41 @@
     vm.advance(config::drain_time);
     cr_assert(vm.last_held() == millis{30} + config::drain_time);
 }
+
+/// The holder is removed for good and closes no connection: its calls got no answer until their
+/// callers' time was over, although another VM scheduled long before (issue 72, dzv-wire-grown,
+/// trouble-3: 25 submissions in one take-over).
+Test(central_entry, call_to_a_former_holder_goes_to_the_new_one)
+{
+    entry_vm vm;
+    vm.submit();
+    const std::uint32_t first = vm.last_attempt();
+    vm.advance({1'000});
+    cr_assert_eq(vm.peer_calls(), 1);
+    vm.see_new_holder();
+    cr_assert_eq(vm.peer_calls(), 2);
+    cr_assert_eq(vm.last_peer_address(), new_peer_address);
+    vm.end_attempt(first, call_result::unavailable);
+    cr_assert_not(vm.last_result().has_value(), "the former holder's refusal is no answer");
+    vm.end_peer_call(call_result::accepted);
+    cr_assert(vm.last_result() == call_result::accepted);
+}
+
+/// The former holder may have accepted the job just before it was gone.
+Test(central_entry, refusal_by_the_new_holder_does_not_hide_that_the_former_may_have_accepted)
+{
+    entry_vm vm;
+    vm.submit();
+    vm.see_new_holder();
+    vm.end_peer_call(call_result::unavailable);
+    cr_assert(vm.last_result() == call_result::outcome_unknown);
+}
+
+/// It changes nothing, so its caller may try again whatever became of it.
+Test(central_entry, query_without_an_answer_is_refused)
+{
+    entry_vm vm;
+    vm.query();
+    vm.advance({3'000});
+    cr_assert(vm.last_result() == call_result::unavailable);
+}
