--- a/tests/test_central_commits.cpp
+++ b/tests/test_central_commits.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Acknowledgement of run ends to runners while transactions fail.
+/// Acknowledgement of run ends to runners, and answers to new jobs, while transactions fail.
 #include <criterion/criterion.h>
 
 #include "central/expectations.h"
@@ -68,3 +68,29 @@
         expect_ends_are_stored_before_they_are_acknowledged(seed);
     }
 }
+
+/// Guards against callers that learn nothing until their time is over (issue 72, dzv-wire-grown,
+/// trouble-3: 41 submissions in a silence of 5.5 s, each of which a later attempt might have
+/// saved). Only the job in the open transaction may be stored.
+Test(central_commits, new_jobs_in_no_transaction_are_refused_while_the_store_is_silent)
+{
+    central_world w{{.seed = 1, .runners = runners}};
+    w.run_for(warm_up);
+    w.faults.store_calls_are_silent = true;
+    w.submit(0, central_world::make_job(id_of(1), 1, 1, {100}));
+    w.run_for({100});
+    w.submit(0, central_world::make_job(id_of(2), 1, 1, {100}));
+    w.run_for(config::max_wait_for_store);
+    cr_assert_eq(w.caller(id_of(1)).refusals, 0);
+    cr_assert_eq(w.caller(id_of(2)).refusals, 1);
+    w.submit(0, central_world::make_job(id_of(3), 1, 1, {100}));
+    w.run_for({100});
+    cr_assert_eq(w.caller(id_of(3)).refusals, 1);
+    w.faults.store_calls_are_silent = false;
+    w.run_for({3'000});
+    w.submit(0, central_world::make_job(id_of(2), 1, 1, {100}));
+    w.run_for({3'000});
+    cr_assert(w.caller(id_of(2)).was_accepted);
+    cr_assert_eq(w.starts(), 2);
+    expect_no_violation(w);
+}
