--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -43,7 +43,7 @@
     scheduling_options options;
 };
 
-/// Number of an image in `scheduler_state::images`.
+/// Number of an image in `disturbance_model::images`.
 using image_number = std::uint32_t;
 
 // ---- Jobs ----------------------------------------------------------------------------------
@@ -108,6 +108,8 @@
     std::int64_t load{0};
     /// Completed share of its work, in percent.
     std::uint32_t progress{0};
+    /// This holder of the lease started it without a checkpoint, so that its time is a whole run's.
+    bool is_fresh{false};
 };
 
 enum class task_status : std::uint8_t { blocked, ready, active, done };
@@ -179,6 +181,13 @@
     std::size_t max_members{0};
 };
 
+/// Whole runs at full speed that were seen to end, of one kind of task.
+struct seen_run_times {
+    std::uint32_t runs{0};
+    /// Sum of the runs' times as multiples of the owners' estimates.
+    double ratio_sum{0};
+};
+
 struct step_record {
     std::vector<task_record> tasks;
     std::uint32_t unfinished{0};
@@ -189,12 +198,18 @@
     /// At full speed, and at best effort for a starved job.
     step_rejection full_speed_rejection;
     step_rejection best_effort_rejection;
+    /// Of its own tasks, under this holder of the lease; not stored.
+    seen_run_times seen;
     /// Number of the last pass of the waiting services in which no runner was feasible for its
     /// tasks, and in which no room could be kept for one; 0: none.
     std::uint64_t services_rejected_in{0};
     std::uint64_t no_room_kept_in{0};
 };
 
+/// Tasks of the same key are expected to be estimated alike: image, and bits of the processor time
+/// that a task requests.
+using run_time_key = std::pair<image_number, std::uint32_t>;
+
 /// One repetition of a job; jobs without a schedule have exactly one.
 struct occurrence_record {
     /// Wall-clock time from which it may start, since the epoch.
@@ -694,6 +709,9 @@
     commit_state commits;
     loading_state loading;
     disturbance_model learned_disturbance;
+    /// By image and size, see run_times.cpp. A new holder begins without; the ends of the first
+    /// seconds fill it again.
+    std::map<run_time_key, seen_run_times> run_times;
     /// When `learned_disturbance` was last added to a commit.
     instant disturbance_stored_at;
     bool register_known{false};
--- a/src/central/placement/relocation.cpp
+++ b/src/central/placement/relocation.cpp
@@ -37,7 +37,8 @@
         if (moves.size() >= config::max_relocations || !is_relocatable(c, ref)) {
             continue;
         }
-        if (!is_relocation_worthwhile(*ref.step, *ref.task->current_run)) {
+        if (!is_relocation_worthwhile(expected_run_time(c.s, ref), *ref.step,
+                                      *ref.task->current_run)) {
             continue;
         }
         runner_record* const to =
@@ -53,9 +54,9 @@
 
 } // namespace
 
-bool is_relocation_worthwhile(const graph_step& step, const run& r)
+bool is_relocation_worthwhile(millis whole_run, const graph_step& step, const run& r)
 {
-    const auto total_time = static_cast<double>(step.run_time.count);
+    const auto total_time = static_cast<double>(whole_run.count);
     const double remaining_time =
         total_time * (static_cast<double>(full_pace) - r.progress) / full_pace;
     const double time_after_move = (step.saves_checkpoints ? remaining_time : total_time) +
--- a/src/central/placement/relocation.h
+++ b/src/central/placement/relocation.h
@@ -10,6 +10,6 @@
 void relocate_throttled_tasks(const context& c);
 /// \return true if a throttled run would end sooner at full speed elsewhere by a factor of at least
 /// `min_relocation_speedup`, including the cost of the move.
-bool is_relocation_worthwhile(const graph_step& step, const run& r);
+bool is_relocation_worthwhile(millis whole_run, const graph_step& step, const run& r);
 
 } // namespace cuminmoor::central
--- a/src/central/placement/reservations.cpp
+++ b/src/central/placement/reservations.cpp
@@ -51,7 +51,7 @@
     resources size;
 };
 
-/// \return when a run is expected to end by its owner's estimate. One that is late by some time is
+/// \return when a run is expected to end. One that is late by some time is
 /// expected to take as long again.
 instant expected_end_of(const context& c, const task_ref& ref)
 {
@@ -59,7 +59,7 @@
     if (r.phase == run_phase::stopping) {
         return c.now;
     }
-    const instant estimate = r.ordered_at + ref.step->run_time;
+    const instant estimate = r.ordered_at + expected_run_time(c.s, ref);
     return estimate >= c.now ? estimate : c.now + (c.now - estimate);
 }
 
--- a/src/central/runs/run_reports.cpp
+++ b/src/central/runs/run_reports.cpp
@@ -221,6 +221,9 @@
     }
     if (is_current_run(ref, r.entry.id, e.run)) {
         log_run(c, "run_ended", e.task, *ref.task->current_run, name_of(e.cause));
+        if (e.cause == end_cause::done) {
+            record_run_time(c, ref);
+        }
         const bool is_exit = e.cause == end_cause::done || e.cause == end_cause::failed;
         if (ref.step->is_service && is_exit) {
             record_service_exit(c, e.task, ref);
--- a/src/central/runs/runs.cpp
+++ b/src/central/runs/runs.cpp
@@ -95,6 +95,7 @@
 {
     run& started = *ref.task->current_run;
     started.ordered_at = c.now;
+    started.is_fresh = ref.task->checkpoint.empty();
     started.awaits_store = false;
     started.start_in_flight = true;
     runner_order order = make_order(c, r, id, order_kind::start, started.number);
--- a/tests/test_central_relocation.cpp
+++ b/tests/test_central_relocation.cpp
@@ -120,9 +120,9 @@
     run r;
     r.pace = 60;
     r.progress = 0;
-    cr_assert_not(is_relocation_worthwhile(step, r));
+    cr_assert_not(is_relocation_worthwhile(step.run_time, step, r));
     r.pace = 30;
-    cr_assert(is_relocation_worthwhile(step, r));
+    cr_assert(is_relocation_worthwhile(step.run_time, step, r));
     r.progress = 90;
-    cr_assert_not(is_relocation_worthwhile(step, r));
+    cr_assert_not(is_relocation_worthwhile(step.run_time, step, r));
 }
