--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -63,6 +63,8 @@
             "central: on or off: correct estimated run times by the ends that were seen"},
     setting{"lookahead", "off",
             "central: on or off: keep room for the first large task that waits"},
+    setting{"service-headroom", "off",
+            "central: on or off: throttle leftover tasks before services miss their targets"},
 };
 
 const char* name_of(log_level level)
@@ -232,8 +234,8 @@
     settings s;
     s.mode = mode;
     const auto& [vm, fd, http, peer, platform, threads, level, scheduling, readiness, max_hold,
-                 keep_ended, core_share, link_mbit, admission, preemption, correction, lookahead] =
-        setting_list;
+                 keep_ended, core_share, link_mbit, admission, preemption, correction, lookahead,
+                 headroom] = setting_list;
     s.vm.value = reader.name(vm);
     s.failure_domain.value = reader.name(fd);
     s.http = reader.address(http);
@@ -254,6 +256,7 @@
     s.options.preemption = reader.flag(preemption);
     s.options.run_time_correction = reader.flag(correction);
     s.options.lookahead = reader.flag(lookahead);
+    s.options.service_headroom = reader.flag(headroom);
     if (!reader.errors().empty()) {
         return absl::InvalidArgumentError(reader.errors());
     }
@@ -312,7 +315,8 @@
             << "\ndeadline-admission=" << on_or_off(s.options.deadline_admission)
             << "\npreemption=" << on_or_off(s.options.preemption)
             << "\nrun-time-correction=" << on_or_off(s.options.run_time_correction)
-            << "\nlookahead=" << on_or_off(s.options.lookahead) << "\n";
+            << "\nlookahead=" << on_or_off(s.options.lookahead)
+            << "\nservice-headroom=" << on_or_off(s.options.service_headroom) << "\n";
     }
     return out.str();
 }
--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -101,6 +101,8 @@
 inline constexpr millis hold_wait{2'000};
 /// The same for runners that host both services and leftover tasks.
 inline constexpr millis shared_runner_hold_wait{1'000};
+/// The same where the deployment asks for headroom of services.
+inline constexpr millis headroom_hold_wait{400};
 /// The same while a service there is disturbed, or leftover tasks are paused.
 inline constexpr millis disturbed_runner_hold_wait{300};
 /// Timeout for the answer of a runner, in addition to the hold's wait.
@@ -277,6 +279,9 @@
 /// latency below which the latency rise budget may grow.
 inline constexpr std::int64_t disturbed_latency_percent{95};
 inline constexpr std::int64_t calm_latency_percent{80};
+/// Tail latency at which leftover tasks stand still where the deployment asks for headroom of
+/// services; at `calm_latency_percent` they run at full speed.
+inline constexpr std::int64_t no_headroom_latency_percent{105};
 
 // Relocation of throttled tasks.
 inline constexpr millis relocation_period{200};
--- a/include/cuminmoor/central/options.h
+++ b/include/cuminmoor/central/options.h
@@ -15,6 +15,9 @@
     /// Room is kept for the first large task that waits; small ones that end before it fill the
     /// gap.
     bool lookahead{false};
+    /// All leftover tasks are throttled before the services at their side miss their targets, not
+    /// only those that are known to disturb them.
+    bool service_headroom{false};
 };
 
 } // namespace cuminmoor::central
--- a/src/central/placement/pacing.cpp
+++ b/src/central/placement/pacing.cpp
@@ -1,5 +1,8 @@
 /// \file
 /// Pacing: throttles leftover tasks so that services on the same runner meet their latency targets.
+///
+/// With headroom of services it answers the load of services whose demand comes in waves: at the
+/// crest of one, neighbours that disturb them little each take the rest together.
 #include "central/runs/run_parts.h"
 
 #include <algorithm>
@@ -77,6 +80,13 @@
     return static_cast<std::uint32_t>(std::floor(std::clamp(share, 0.0, 1.0) * tenth) * tenth);
 }
 
+/// \return the pace of leftover tasks that are not known to disturb the services there.
+std::uint32_t benign_pace_for_services(const context& c, const runner_record& r)
+{
+    const bool has_limit = c.s.self.options.service_headroom && hosts_services_and_leftover(r);
+    return has_limit ? pace_for_headroom(r.latency_percent) : full_pace;
+}
+
 /// \return the wanted pace, or the current one if the change is smaller than `min_pace_change` and
 /// the wanted pace is neither 0 nor full speed.
 std::uint32_t with_hysteresis(std::uint32_t current, std::uint32_t wanted)
@@ -152,6 +162,16 @@
     return r.service_milli_cores > 0 && r.leftover_milli_cores > 0;
 }
 
+std::uint32_t pace_for_headroom(std::int64_t latency_percent)
+{
+    constexpr std::int64_t range{config::no_headroom_latency_percent -
+                                 config::calm_latency_percent};
+    constexpr std::int64_t tenths{10};
+    const std::int64_t left = config::no_headroom_latency_percent - latency_percent;
+    const std::int64_t share = std::clamp<std::int64_t>(left * tenths / range, 0, tenths);
+    return static_cast<std::uint32_t>(share) * (full_pace / tenths);
+}
+
 void observe_latency(const context& c, runner_record& r, instant shown_at)
 {
     r.latency_percent = max_latency_percent(c, r);
@@ -167,7 +187,9 @@
 {
     const std::uint32_t wanted = with_hysteresis(r.antagonist_pace, antagonist_pace_for_budget(r));
     const std::uint32_t antagonist_pace = r.is_paused ? 0 : wanted;
-    const std::uint32_t benign_pace = r.is_paused ? 0 : full_pace;
+    const std::uint32_t benign_wanted =
+        with_hysteresis(r.benign_pace, benign_pace_for_services(c, r));
+    const std::uint32_t benign_pace = r.is_paused ? 0 : benign_wanted;
     if (antagonist_pace != r.antagonist_pace || benign_pace != r.benign_pace) {
         r.antagonist_pace = antagonist_pace;
         r.benign_pace = benign_pace;
--- a/src/central/placement/relocation.cpp
+++ b/src/central/placement/relocation.cpp
@@ -15,7 +15,7 @@
 
 bool is_throttled(const runner_record& r)
 {
-    return r.is_responsive && (r.antagonist_pace < full_pace || r.benign_pace < full_pace);
+    return r.is_responsive && (r.antagonist_pace < full_pace || r.is_paused);
 }
 
 bool is_relocatable(const context& c, const task_ref& ref)
@@ -37,6 +37,10 @@
         if (moves.size() >= config::max_relocations || !is_relocatable(c, ref)) {
             continue;
         }
+        // What services slow only at the crest of their demand stays.
+        if (!r.is_paused && !is_antagonist(c.s, r, ref)) {
+            continue;
+        }
         if (!is_relocation_worthwhile(expected_run_time(c.s, ref), *ref.step,
                                       *ref.task->current_run)) {
             continue;
--- a/src/central/runs/runners.cpp
+++ b/src/central/runs/runners.cpp
@@ -22,13 +22,16 @@
 }
 
 /// \return how long the runner may keep a hold open.
-millis wait_for_end(const runner_record& r)
+millis wait_for_end(const context& c, const runner_record& r)
 {
     if (!hosts_services_and_leftover(r)) {
         return config::hold_wait;
     }
-    return r.is_disturbed || r.is_paused ? config::disturbed_runner_hold_wait
-                                         : config::shared_runner_hold_wait;
+    if (r.is_disturbed || r.is_paused) {
+        return config::disturbed_runner_hold_wait;
+    }
+    return c.s.self.options.service_headroom ? config::headroom_hold_wait
+                                             : config::shared_runner_hold_wait;
 }
 
 /// \return the latest time at which the state in a report can have been current. On the runner's
@@ -65,7 +68,7 @@
     const bool waits_for_store = r.acknowledged < r.last_processed_end;
     const bool has_current_clock = r.clock.has_value() && r.is_responsive;
     const bool is_short = waits_for_store || !has_current_clock || !may_grant_leases(c, r);
-    const millis wait = is_short ? millis{0} : wait_for_end(r);
+    const millis wait = is_short ? millis{0} : wait_for_end(c, r);
     // After a failed hold, only ask for a report. Extending leases would postpone their computed
     // expiry although the runner may be gone, and a restarted runner numbers its ends from 1 again,
     // so an old acknowledgement would match new ends.
--- a/tests/test_central_disturbance.cpp
+++ b/tests/test_central_disturbance.cpp
@@ -79,6 +79,60 @@
     cr_assert_gt(r.antagonist_pace, 20);
 }
 
+Test(central_disturbance, pace_for_headroom_falls_before_the_target_is_missed)
+{
+    cr_assert_eq(pace_for_headroom(config::calm_latency_percent), full_pace);
+    cr_assert_lt(pace_for_headroom(config::disturbed_latency_percent), full_pace / 2);
+    cr_assert_eq(pace_for_headroom(config::no_headroom_latency_percent), 0);
+    cr_assert_eq(pace_for_headroom(20 * config::no_headroom_latency_percent), 0);
+}
+
+namespace {
+
+/// A service at the crest of its demand, beside a task that is known to disturb it little.
+struct crest_fixture : disturbance_fixture {
+    explicit crest_fixture(bool has_headroom)
+    {
+        s.self.options.service_headroom = has_headroom;
+        s.lease.current_role = role::scheduler;
+        add_job("service", "s", true);
+        add_job("batch", "f", false);
+        runner_record& r = add_runner("r1");
+        add_run(r, "service", 45);
+        add_run(r, "batch", 6'000);
+        for (int i{0}; i < 8; ++i) {
+            report(r);
+            now = now + millis{400};
+        }
+        cr_assert_eq(r.benign_pace, full_pace);
+        constexpr std::int64_t at_crest{92};
+        find_task(s, {{"service"}, 0, 0, 0}).task->current_run->load = at_crest;
+        report(r);
+    }
+
+    runner_record& runner() { return s.scheduler.runners.at({"r1"}); }
+};
+
+} // namespace
+
+/// On dzv-wire-grown, quiet-1, two thirds of the reports of services over their targets were beside
+/// neighbours that are known to disturb them little.
+Test(central_disturbance, benign_tasks_are_slowed_at_the_crest_of_a_service)
+{
+    crest_fixture b{true};
+    cr_assert_eq(b.runner().benign_pace, 50);
+    cr_assert_not(b.runner().is_disturbed);
+    find_task(b.s, {{"service"}, 0, 0, 0}).task->current_run->load = 45;
+    b.report(b.runner());
+    cr_assert_eq(b.runner().benign_pace, full_pace);
+}
+
+Test(central_disturbance, benign_tasks_run_on_unless_the_deployment_asks_for_headroom)
+{
+    crest_fixture b{false};
+    cr_assert_eq(b.runner().benign_pace, full_pace);
+}
+
 Test(central_disturbance, model_round_trips_through_its_row)
 {
     disturbance_model learned_disturbance;
--- a/tests/test_daemon_settings.cpp
+++ b/tests/test_daemon_settings.cpp
@@ -81,6 +81,7 @@
     cr_assert_not(plain->options.preemption);
     cr_assert_not(plain->options.run_time_correction);
     cr_assert_not(plain->options.lookahead);
+    cr_assert_not(plain->options.service_headroom);
     flags.push_back("--lookahead=on");
     cr_assert(io::parse_settings(flags)->options.lookahead);
     flags.back() = "--lookahead=yes";
