--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -282,6 +282,8 @@
 /// Tail latency at which leftover tasks stand still where the deployment asks for headroom of
 /// services; at `calm_latency_percent` they run at full speed.
 inline constexpr std::int64_t no_headroom_latency_percent{105};
+/// Services get headroom again once no leftover task has waited for a runner for this long.
+inline constexpr millis headroom_pause{1'000};
 
 // Relocation of throttled tasks.
 inline constexpr millis relocation_period{200};
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -736,6 +736,9 @@
     /// A step became ready since the last placement.
     bool has_new_ready{false};
     instant last_placement_at;
+    /// End of the last placement round that left leftover tasks without a runner; kept only where
+    /// the deployment asks for headroom of services.
+    std::optional<instant> leftover_waited_at;
     /// Earliest time of the next placement round, given the cost of the last.
     instant next_placement_at;
     /// When the last step began, if it had a placement round or a pass of the waiting services.
--- a/src/central/placement/pacing.cpp
+++ b/src/central/placement/pacing.cpp
@@ -2,7 +2,9 @@
 /// Pacing: throttles leftover tasks so that services on the same runner meet their latency targets.
 ///
 /// With headroom of services it answers the load of services whose demand comes in waves: at the
-/// crest of one, neighbours that disturb them little each take the rest together.
+/// crest of one, neighbours that disturb them little each take the rest together. Not while
+/// leftover tasks wait for a runner: slower ones would make them wait longer, and all of them
+/// disturb longer.
 #include "central/runs/run_parts.h"
 
 #include <algorithm>
@@ -83,7 +85,10 @@
 /// \return the pace of leftover tasks that are not known to disturb the services there.
 std::uint32_t benign_pace_for_services(const context& c, const runner_record& r)
 {
-    const bool has_limit = c.s.self.options.service_headroom && hosts_services_and_leftover(r);
+    const auto& waited_at = c.s.scheduler.leftover_waited_at;
+    const bool is_room_short = waited_at && c.now - *waited_at < config::headroom_pause;
+    const bool has_limit =
+        c.s.self.options.service_headroom && !is_room_short && hosts_services_and_leftover(r);
     return has_limit ? pace_for_headroom(r.latency_percent) : full_pace;
 }
 
--- a/src/central/placement/placement.cpp
+++ b/src/central/placement/placement.cpp
@@ -120,10 +120,26 @@
             (config::max_scored_runners_per_ms * milli_cores)};
 }
 
+/// Notes whether leftover tasks still wait: slowing others for services would make them wait
+/// longer.
+void note_waiting_leftover(const context& c)
+{
+    scheduler_state& s = c.s.scheduler;
+    const auto is_leftover = [&c](const ready_key& key) {
+        const task_ref ref = find_task(c.s, {key.job, key.occurrence, key.step, 0});
+        return ref && ref.step->uses_leftover;
+    };
+    if (c.s.self.options.service_headroom &&
+        std::any_of(s.ready.begin(), s.ready.end(), is_leftover)) {
+        s.leftover_waited_at = c.now;
+    }
+}
+
 void end_round(placement_round& round, std::size_t visited_steps)
 {
     const context& c = round.c;
     scheduler_state& s = c.s.scheduler;
+    note_waiting_leftover(c);
     for (auto& [id, r] : s.runners) {
         r.last_offer.reset();
         if (is_schedulable(c, r)) {
--- a/tests/test_central_disturbance.cpp
+++ b/tests/test_central_disturbance.cpp
@@ -127,6 +127,19 @@
     cr_assert_eq(b.runner().benign_pace, full_pace);
 }
 
+/// On cpcca-bridge-grown, scale-1, batch waits for room from the first second: slowed, it lost more
+/// than services gained.
+Test(central_disturbance, benign_tasks_are_not_slowed_while_others_wait_for_a_runner)
+{
+    crest_fixture b{true};
+    b.s.scheduler.leftover_waited_at = b.now;
+    b.report(b.runner());
+    cr_assert_eq(b.runner().benign_pace, full_pace);
+    b.now = b.now + config::headroom_pause;
+    b.report(b.runner());
+    cr_assert_eq(b.runner().benign_pace, 50);
+}
+
 Test(central_disturbance, benign_tasks_run_on_unless_the_deployment_asks_for_headroom)
 {
     crest_fixture b{false};
