--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -65,6 +65,8 @@
             "central: on or off: correct estimated run times by the ends that were seen"},
     setting{"lookahead", "off",
             "central: on or off: keep room for the first large task that waits"},
+    setting{"service-headroom", "off",
+            "central: on or off: throttle leftover tasks before services miss their targets"},
     setting{"memory-mb", "256",
             "central: memory of this process in MiB, 32 to 1048576; clients may hold a quarter"},
     setting{"max-descriptors", "4096",
@@ -250,8 +252,8 @@
     settings s;
     s.mode = mode;
     const auto& [vm, fd, http, peer, platform, threads, level, scheduling, readiness, max_hold,
-                 keep_ended, core_share, link_mbit, attainable_first, correction, lookahead, memory,
-                 descriptors] = setting_list;
+                 keep_ended, core_share, link_mbit, attainable_first, correction, lookahead,
+                 headroom, memory, descriptors] = setting_list;
     s.vm.value = reader.name(vm);
     s.failure_domain.value = reader.name(fd);
     s.http = reader.address(http);
@@ -271,6 +273,7 @@
     s.options.attainable_first = reader.flag(attainable_first);
     s.options.run_time_correction = reader.flag(correction);
     s.options.lookahead = reader.flag(lookahead);
+    s.options.service_headroom = reader.flag(headroom);
     s.memory_bytes = reader.size(memory, min_memory_mb) * bytes_per_mb;
     s.max_descriptors = reader.size(descriptors, min_descriptors);
     if (!reader.errors().empty()) {
@@ -331,6 +334,7 @@
             << "\nattainable-first=" << on_or_off(s.options.attainable_first)
             << "\nrun-time-correction=" << on_or_off(s.options.run_time_correction)
             << "\nlookahead=" << on_or_off(s.options.lookahead)
+            << "\nservice-headroom=" << on_or_off(s.options.service_headroom)
             << "\nmemory-mb=" << s.memory_bytes / bytes_per_mb
             << "\nmax-descriptors=" << s.max_descriptors << "\n";
     }
--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -76,6 +76,9 @@
 inline constexpr millis commit_retry{100};
 /// New jobs that wait for a commit are refused once commits have failed for this long.
 inline constexpr millis max_commit_failure_time{500};
+/// New jobs that are in no commit are refused once the open commit has had no outcome for this
+/// long.
+inline constexpr millis max_wait_for_store{700};
 /// A job usually takes two rows; the store allows 100 entries per transaction.
 inline constexpr std::size_t max_jobs_per_commit{45};
 inline constexpr std::size_t max_rows_per_commit{95};
@@ -98,6 +101,8 @@
 inline constexpr millis hold_wait{2'000};
 /// The same for runners that host both services and leftover tasks.
 inline constexpr millis shared_runner_hold_wait{1'000};
+/// The same where the deployment asks for headroom of services.
+inline constexpr millis headroom_hold_wait{400};
 /// The same while a service there is disturbed, or leftover tasks are paused.
 inline constexpr millis disturbed_runner_hold_wait{300};
 /// Timeout for the answer of a runner, in addition to the hold's wait.
@@ -300,6 +305,11 @@
 /// latency below which the latency rise budget may grow.
 inline constexpr std::int64_t disturbed_latency_percent{95};
 inline constexpr std::int64_t calm_latency_percent{80};
+/// Tail latency at which leftover tasks stand still where the deployment asks for headroom of
+/// services; at `calm_latency_percent` they run at full speed.
+inline constexpr std::int64_t no_headroom_latency_percent{105};
+/// Services get headroom again once no leftover task has waited for a runner for this long.
+inline constexpr millis headroom_pause{1'000};
 
 // Relocation of throttled tasks.
 inline constexpr millis relocation_period{200};
--- a/src/central/placement/relocation.cpp
+++ b/src/central/placement/relocation.cpp
@@ -15,7 +15,7 @@
 
 bool is_throttled(const runner_record& r)
 {
-    return r.is_responsive && (r.antagonist_pace < full_pace || r.benign_pace < full_pace);
+    return r.is_responsive && (r.antagonist_pace < full_pace || r.is_paused);
 }
 
 bool is_relocatable(const context& c, const task_ref& ref)
@@ -37,7 +37,12 @@
         if (moves.size() >= config::max_relocations || !is_relocatable(c, ref)) {
             continue;
         }
-        if (!is_relocation_worthwhile(*ref.step, *ref.task->current_run)) {
+        // What services slow only at the crest of their demand stays.
+        if (!r.is_paused && !is_antagonist(c.s, r, ref)) {
+            continue;
+        }
+        if (!is_relocation_worthwhile(expected_run_time(c.s, ref), *ref.step,
+                                      *ref.task->current_run)) {
             continue;
         }
         runner_record* const to =
@@ -53,9 +58,9 @@
 
 } // namespace
 
-bool is_relocation_worthwhile(const graph_step& step, const run& r)
+bool is_relocation_worthwhile(millis whole_run, const graph_step& step, const run& r)
 {
-    const auto total_time = static_cast<double>(step.run_time.count);
+    const auto total_time = static_cast<double>(whole_run.count);
     const double remaining_time =
         total_time * (static_cast<double>(full_pace) - r.progress) / full_pace;
     const double time_after_move = (step.saves_checkpoints ? remaining_time : total_time) +
