--- a/tests/test_central_entry.cpp
+++ b/tests/test_central_entry.cpp
@@ -80,7 +80,7 @@
     /// Ends the forwarded call with a refusal that says when to come back.
     void end_with_refusal(call_result result, millis retry_after)
     {
-        handle_event(peer_call_ended{handle, true,
+        handle_event(peer_call_ended{handle, last_attempt_, true,
                                      call_answer{.result = result, .retry_after = retry_after}});
     }
 
