--- a/daemon/central_metrics.cpp
+++ b/daemon/central_metrics.cpp
@@ -224,7 +224,12 @@
         << "cuminmoor_runners " << s.scheduler.runners.size() << '\n'
         << "cuminmoor_ready_steps " << s.scheduler.ready.size() << '\n'
         << "cuminmoor_placement_rounds_total " << s.scheduler.placement_rounds << '\n'
-        << "cuminmoor_runners_weighed_total " << s.scheduler.runners_scored << '\n';
+        << "cuminmoor_runners_weighed_total " << s.scheduler.runners_scored << '\n'
+        << "cuminmoor_reservations " << s.scheduler.reserved_runners.size() << '\n'
+        << "cuminmoor_reservations_made_total " << s.scheduler.lookahead.made << '\n'
+        << "cuminmoor_reservations_used_total " << s.scheduler.lookahead.used << '\n'
+        << "cuminmoor_reservations_given_up_total " << s.scheduler.lookahead.given_up << '\n'
+        << "cuminmoor_backfilled_starts_total " << s.scheduler.lookahead.backfilled << '\n';
     write_organisations(out, s);
     write_histogram(out, "call", histograms_->call);
     write_histogram(out, "commit", histograms_->commit);
--- a/daemon/connection_budget.cpp
+++ b/daemon/connection_budget.cpp
@@ -14,7 +14,8 @@
 constexpr std::size_t memory_part{4};
 /// Files, the store and what else is open in any case.
 constexpr std::size_t reserved_descriptors{100};
-/// The other half is for connections to runners, peers and the store.
+/// Part of the remaining descriptors that clients may use; the rest is for connections to runners,
+/// peers and the store.
 constexpr std::size_t descriptor_part{2};
 /// Sockets and bookkeeping of a connection that holds nothing.
 constexpr std::size_t connection_bytes{2'048};
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -64,7 +64,7 @@
     setting{"run-time-correction", "off",
             "central: on or off: correct estimated run times by the ends that were seen"},
     setting{"lookahead", "off",
-            "central: on or off: keep room for the first large task that waits"},
+            "central: on or off: keep room for the first large tasks that wait"},
     setting{"service-headroom", "off",
             "central: on or off: throttle leftover tasks before services miss their targets"},
     setting{"memory-mb", "256",
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -44,7 +44,7 @@
     /// Capacity of this VM, announced to the other entry VMs.
     central::vm_capacity capacity;
     central::scheduling_options options;
-    /// Memory of this process's machine; clients may hold a part of it.
+    /// Memory that this process may use; clients may hold a part of it.
     std::size_t memory_bytes{0};
     /// Descriptors that this process may open.
     std::size_t max_descriptors{0};
--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -209,7 +209,8 @@
 /// Share of a runner's capacity, in percent, from which room is kept for a task: smaller ones find
 /// gaps soon.
 inline constexpr std::int64_t large_task_percent{20};
-/// Most runners on which room is kept at a time, and most for which it is kept anew in one round.
+/// Most runners on which room is kept at a time, and most steps for which a runner is looked for in
+/// one round.
 inline constexpr std::size_t max_reservations{32};
 inline constexpr std::size_t max_new_reservations{4};
 /// Room that is expected later than this is not kept yet.
@@ -340,7 +341,9 @@
 inline constexpr double min_organisation_weight{0.001};
 /// Interval at which a new holder counts anew what may run unreported.
 inline constexpr millis unreported_count_period{100};
-inline constexpr millis quota_wait_log_period{1'000};
+/// An organisation's waits are logged at most once in this time, those for its quota and those for
+/// its share each.
+inline constexpr millis organisation_wait_log_period{1'000};
 
 // Shutdown.
 /// Calls are still served for this long after the shutdown was requested.
--- a/include/cuminmoor/central/options.h
+++ b/include/cuminmoor/central/options.h
@@ -11,8 +11,8 @@
     bool attainable_first{false};
     /// Run times that owners estimate are corrected by the ends that were seen.
     bool run_time_correction{false};
-    /// Room is kept for the first large task that waits; small ones that end before it fill the
-    /// gap.
+    /// Room is kept for the first large tasks that wait; small ones that end before it is needed
+    /// use it meanwhile (backfilling).
     bool lookahead{false};
     /// All leftover tasks are throttled before the services at their side miss their targets, not
     /// only those that are known to disturb them.
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -132,8 +132,8 @@
     std::uint32_t suspected{0};
     /// The task does not start before; not stored.
     std::optional<instant> held_back_until{};
-    /// The last runner that crashed, as far as this holder of the lease knows, and whether another
-    /// one did, too; not stored.
+    /// The last runner on which a crash counted for the task, as far as this holder of the lease
+    /// knows, and whether another one did, too; not stored.
     runner_id crashed_runner{};
     bool has_crashed_several{false};
 
--- a/src/central/entry/entry.cpp
+++ b/src/central/entry/entry.cpp
@@ -131,7 +131,7 @@
     return call.forwards.is_in_flight && has_new_scheduler(s, call);
 }
 
-/// Gives the forward in flight up. Sending the call to the new scheduler is safe: it knows the jobs
+/// Gives up the forward in flight. Sending the call to the new scheduler is safe: it knows the jobs
 /// that the former one accepted, and nothing is stored for the former one any more.
 void abandon_forward(const context& c, open_call& call)
 {
--- a/src/central/organisations/quota.cpp
+++ b/src/central/organisations/quota.cpp
@@ -33,7 +33,7 @@
 void note_wait(const context& c, organisation_use& use, const task_ref& ref)
 {
     ++use.quota_waits;
-    if (use.wait_logged_at && c.now - *use.wait_logged_at < config::quota_wait_log_period) {
+    if (use.wait_logged_at && c.now - *use.wait_logged_at < config::organisation_wait_log_period) {
         return;
     }
     use.wait_logged_at = c.now;
--- a/src/central/organisations/shares.cpp
+++ b/src/central/organisations/shares.cpp
@@ -13,7 +13,8 @@
 void note_postponed(const context& c, organisation_use& use, const ready_key& key, double share)
 {
     ++use.share_waits;
-    if (use.share_logged_at && c.now - *use.share_logged_at < config::quota_wait_log_period) {
+    if (use.share_logged_at &&
+        c.now - *use.share_logged_at < config::organisation_wait_log_period) {
         return;
     }
     use.share_logged_at = c.now;
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -1,5 +1,6 @@
 /// \file
-/// Interfaces between the components of the central scheduler, one header for each source file. A
+/// Interfaces between the components of the central scheduler, the headers that most sources
+/// use. A
 /// job goes from `entry` to `jobs`, is stored by `store`, placed by `placement` within the quota
 /// that `organisations` counts, and started and stopped by `runs`; `lease` decides which VM does
 /// that.
@@ -13,11 +14,11 @@
 #include "central/organisations/quota.h"
 #include "central/organisations/shares.h"
 #include "central/placement/disturbance.h"
+#include "central/placement/lookahead.h"
 #include "central/placement/pacing.h"
 #include "central/placement/placement.h"
 #include "central/placement/relocation.h"
 #include "central/placement/reservations.h"
-#include "central/placement/lookahead.h"
 #include "central/placement/room_estimates.h"
 #include "central/placement/run_times.h"
 #include "central/placement/runner_selector.h"
--- a/src/central/placement/lookahead.cpp
+++ b/src/central/placement/lookahead.cpp
@@ -43,7 +43,8 @@
            std::tie(step.job, step.occurrence, step.step);
 }
 
-/// \return true if the task comes before the step in the order of placement.
+/// \return true if the task comes before the step by priority and deadline, as in `ready_key`;
+/// order by what is attainable and by shares does not count here.
 bool is_more_urgent(const graph_task_id& id, const task_ref& ref, const ready_key& step)
 {
     return std::tie(ref.job->queue_settings.priority, ref.job->deadline, id.job, id.occurrence,
@@ -251,17 +252,17 @@
 void reserve_room(const context& c, const std::vector<runner_record*>& runners,
                   const std::vector<ready_key>& rejected)
 {
-    std::size_t made{0};
+    std::size_t tried{0};
     for (const ready_key& step : rejected) {
         const graph_task_id id = first_task_of(step);
         const task_ref ref = find_task(c.s, id);
         if (!ref || !wants_room(c, step, ref)) {
             continue;
         }
-        if (made == config::max_new_reservations || !make_way(c, step)) {
+        if (tried == config::max_new_reservations || !make_way(c, step)) {
             return;
         }
-        ++made;
+        ++tried;
         const expected_room room = first_room(c, runners, id, ref);
         if (room.runner != nullptr) {
             keep(c, step, ref.step->task_size, room);
--- a/src/central/placement/lookahead.h
+++ b/src/central/placement/lookahead.h
@@ -35,9 +35,8 @@
 /// room has not come for too long.
 void revise_reservations(const context& c);
 /// Keeps room for further tasks of steps that fitted nowhere, the most urgent steps first; at most
-/// `max_new_reservations` at a time. A more urgent step displaces the least urgent one if there are
-/// `max_reservations`.
-/// \param rejected in order of urgency.
+/// `max_new_reservations` steps are tried in a round. A more urgent step displaces the least urgent
+/// one if there are `max_reservations`. \param rejected in order of urgency.
 void reserve_room(const context& c, const std::vector<runner_record*>& runners,
                   const std::vector<ready_key>& rejected);
 /// Ends the reservation that the start uses; counts it if it uses a gap instead.
--- a/src/central/placement/pacing.cpp
+++ b/src/central/placement/pacing.cpp
@@ -1,10 +1,10 @@
 /// \file
 /// Pacing: throttles leftover tasks so that services on the same runner meet their latency targets.
 ///
-/// With headroom of services it answers the load of services whose demand comes in waves: at the
-/// crest of one, neighbours that disturb them little each take the rest together. Not while
-/// leftover tasks wait for a runner: slower ones would make them wait longer, and all of them
-/// disturb longer.
+/// With `scheduling_options::service_headroom` benign tasks are throttled too: each disturbs
+/// little, but many of them together raise the tail latency while a service's demand peaks. They
+/// run at full speed while leftover tasks wait for a runner: slower ones would make them wait
+/// longer.
 #include "central/runs/run_parts.h"
 
 #include <algorithm>
--- a/src/central/placement/relocation.cpp
+++ b/src/central/placement/relocation.cpp
@@ -37,7 +37,8 @@
         if (moves.size() >= config::max_relocations || !is_relocatable(c, ref)) {
             continue;
         }
-        // What services slow only at the crest of their demand stays.
+        // A benign task that is only throttled for headroom stays: the peak of demand passes
+        // sooner.
         if (!r.is_paused && !is_antagonist(c.s, r, ref)) {
             continue;
         }
--- a/src/central/placement/room_estimates.cpp
+++ b/src/central/placement/room_estimates.cpp
@@ -17,7 +17,7 @@
     resources size;
 };
 
-/// \return when a run is expected to end by its owner's estimate. One that is late by some time is
+/// \return when a run is expected to end, by `expected_run_time`. One that is late by some time is
 /// expected to take as long again.
 instant expected_end_of(const context& c, const task_ref& ref)
 {
--- a/src/central/runs/crashes.cpp
+++ b/src/central/runs/crashes.cpp
@@ -151,7 +151,7 @@
 /// How a crash counts for a suspect.
 enum class crash_blame : std::uint8_t { outside_cause, possible, attributed };
 
-crash_blame blame_for(const context& c, const runner_loss& loss)
+crash_blame blame_for_loss(const context& c, const runner_loss& loss)
 {
     if (!has_outside_cause(c, loss)) {
         return loss.culprit ? crash_blame::attributed : crash_blame::possible;
@@ -163,7 +163,7 @@
 
 /// \return how the crash counts for one of its suspects. A start immediately before it is rarely a
 /// coincidence, whatever else was lost then.
-crash_blame blame_of(const runner_loss& loss, const graph_task_id& id, crash_blame blame)
+crash_blame blame_for_suspect(const runner_loss& loss, const graph_task_id& id, crash_blame blame)
 {
     const auto& prompt = loss.prompt_suspects;
     const bool is_prompt = std::find(prompt.begin(), prompt.end(), id) != prompt.end();
@@ -324,18 +324,18 @@
     if (!r.loss) {
         return;
     }
-    const crash_blame blame = blame_for(c, *r.loss);
+    const crash_blame blame = blame_for_loss(c, *r.loss);
     for (const graph_task_id& id : suspects) {
         const bool is_blamed = blame != crash_blame::attributed || id == *r.loss->culprit;
         if (is_blamed) {
-            count_for_suspect(c, r, id, blame_of(*r.loss, id, blame));
+            count_for_suspect(c, r, id, blame_for_suspect(*r.loss, id, blame));
         }
     }
 }
 
 void add_suspects(const context& c, const runner_record& r, unreported_runner& u)
 {
-    const crash_blame blame = r.loss ? blame_for(c, *r.loss) : crash_blame::outside_cause;
+    const crash_blame blame = r.loss ? blame_for_loss(c, *r.loss) : crash_blame::outside_cause;
     u.is_attributed = blame == crash_blame::attributed;
     if (u.is_attributed) {
         u.suspects.push_back(*r.loss->culprit);
--- a/src/central/store/codec.h
+++ b/src/central/store/codec.h
@@ -45,7 +45,8 @@
     bool operator==(const task_position&) const = default;
 };
 
-/// The service tasks of a job that can run on a runner.
+/// The tasks of a job that can run on one incarnation of a runner: of services, and those with
+/// `crash_counts::has_open_run`.
 struct stored_place {
     runner_id runner;
     std::vector<task_position> tasks;
@@ -59,7 +60,7 @@
     std::vector<occurrence_record> occurrences;
     /// `task_record::crashes` where crashes are counted.
     std::vector<stored_crashes> crashes;
-    /// `task_record::placed_on` of the service tasks that have one.
+    /// `task_record::placed_on` of the tasks that have one.
     std::vector<stored_place> places;
     /// The tasks of `places` that have `task_record::has_survived_there`.
     std::vector<task_position> survivors;
--- a/src/central/store/unstored_jobs.cpp
+++ b/src/central/store/unstored_jobs.cpp
@@ -8,6 +8,7 @@
 
 #include <iterator>
 #include <set>
+#include <utility>
 
 #include "central/parts.h"
 
