Who awaits an answer is not closed for lack of room; idle connections hold nothing; a task larger than its quota runs alone

Cause, found by the review of the merged parts: an empty text has a capacity, so a connection that only awaits its answer counted as holding something and was closed with the others; the memory of a large head stayed with an idle connection, uncounted; a task larger than its organisation's quota never started, though one task more than the quota is allowed; accept went on at once after ENFILE and ENOBUFS; relocation took room that was kept for a large task. Tests, each red without its part: who_waits_for_an_answer_gets_it_although_ others_find_no_room, holds_nothing_between_requests, a_task_larger_than_the_ quota_runs_alone.

--- a/daemon/http_request_parser.cpp
+++ b/daemon/http_request_parser.cpp
@@ -75,10 +75,10 @@
 
 void http_request_parser::reset()
 {
-    // New texts: a large one is not kept for the next request.
-    target_ = {};
-    fields_ = {};
-    body_ = {};
+    // An assignment would keep the memory of a large text.
+    std::string{}.swap(target_);
+    std::string{}.swap(fields_);
+    std::string{}.swap(body_);
     head_bytes_ = 0;
     in_value_ = false;
     has_begun_ = false;
@@ -88,7 +88,8 @@
 
 std::size_t http_request_parser::held_bytes() const
 {
-    return target_.size() + fields_.size() + body_.capacity();
+    // An empty text has a capacity, too, but holds nothing.
+    return target_.size() + fields_.size() + (body_.empty() ? 0 : body_.capacity());
 }
 
 http_request_parser& http_request_parser::self(http_parser* parser)
--- a/daemon/loop_http_server.cpp
+++ b/daemon/loop_http_server.cpp
@@ -105,7 +105,7 @@
             if (failed == asio::error::would_block || failed == asio::error::try_again) {
                 break;
             }
-            if (failed == asio::error::no_descriptors) {
+            if (failed && failed != asio::error::connection_aborted) {
                 make_place();
                 retry_later();
                 return;
@@ -117,7 +117,8 @@
         wait_for_connections();
     }
 
-    /// Without a free descriptor the connection that waits would be reported again at once.
+    /// Without a free descriptor or memory for it the connection that waits would be reported again
+    /// at once.
     void retry_later()
     {
         retry_timer_.expires_after(std::chrono::milliseconds{accept_retry_time.count});
--- a/src/central/organisations/quota.cpp
+++ b/src/central/organisations/quota.cpp
@@ -115,8 +115,11 @@
     if (use == nullptr) {
         return true;
     }
+    const resources used = use->running + use->unreported;
     const resources wanted = times(ref.step->task_size, tasks);
-    if (cuminmoor::is_within_quota(use->running + use->unreported + wanted, use->settings.quota)) {
+    // One that is larger than the quota would never start otherwise.
+    const bool is_only_task = tasks == 1 && used == resources{};
+    if (is_only_task || cuminmoor::is_within_quota(used + wanted, use->settings.quota)) {
         return true;
     }
     note_wait(c, *use, ref);
--- a/src/central/organisations/quota.h
+++ b/src/central/organisations/quota.h
@@ -25,7 +25,8 @@
 void remove_from_use(const context& c, const task_ref& ref);
 
 /// \return true if this many tasks of the step may start without the organisation going above its
-/// quota, whatever may run of it unreported. If not, counts the wait and logs it from time to time.
+/// quota, or it is the only task that the organisation has running, whatever may run of it
+/// unreported. If not, counts the wait and logs it from time to time.
 bool is_within_quota(const context& c, const task_ref& ref, std::size_t tasks = 1);
 
 /// During the recovery, counts what may run unreported. It only shrinks between two counts.
--- a/src/central/placement/lookahead.cpp
+++ b/src/central/placement/lookahead.cpp
@@ -209,8 +209,9 @@
 resources room_kept_from(const context& c, const runner_record& r, const graph_task_id& id,
                          const task_ref& ref)
 {
-    // A task with a run has its room already.
-    if (!r.reservation || ref.task->current_run || is_of_step(id, r.reservation->step) ||
+    // A task with a run there has its room already.
+    const bool has_room = ref.task->current_run && ref.task->current_run->runner == r.entry.id;
+    if (!r.reservation || has_room || is_of_step(id, r.reservation->step) ||
         is_more_urgent(id, ref, r.reservation->step)) {
         return {};
     }
--- a/tests/test_central_organisations.cpp
+++ b/tests/test_central_organisations.cpp
@@ -217,6 +217,19 @@
     expect_no_violation(w);
 }
 
+Test(central_organisations, a_task_larger_than_the_quota_runs_alone)
+{
+    quota_world w{1};
+    graph_job job = central_world::make_job(id_of(1), 1, 2, {300});
+    job.steps[0].task_size = {3 * task_size.milli_cores, 1'000, 0};
+    submit(w, 0, job);
+    cr_assert_eq(most_running(w, {2'000}), 3);
+    w.query(0, id_of(1));
+    w.run_for({100});
+    cr_assert(w.all_done(job_state::completed));
+    expect_no_violation(w);
+}
+
 Test(central_organisations, a_gang_counts_as_a_whole)
 {
     quota_world w{5};
--- a/tests/test_daemon_http_limits.cpp
+++ b/tests/test_daemon_http_limits.cpp
@@ -137,6 +137,22 @@
     cr_assert(f.handler.paths.empty());
 }
 
+/// Closing connections frees nothing of what calls hold.
+Test(http_limits, who_waits_for_an_answer_gets_it_although_others_find_no_room)
+{
+    fixture f;
+    auto waits = f.connect();
+    f.send(waits, head + "Content-Length: 2\r\n\r\n{}");
+    cr_assert_eq(f.handler.responders.size(), 1);
+    auto held = f.budget.hold_call(io::listener::callers, 9 * mib);
+    auto refused = f.connect();
+    f.send(refused, head + "Content-Length: 2\r\n\r\n{}");
+    cr_assert(fixture::receive(refused).starts_with("HTTP/1.1 503"));
+    f.handler.responders.at(0)(io::http_response{});
+    f.run();
+    cr_assert(fixture::receive(waits).starts_with("HTTP/1.1 200"));
+}
+
 Test(http_limits, call_of_an_own_vm_is_taken_without_room)
 {
     fixture f;
--- a/tests/test_daemon_http_parser.cpp
+++ b/tests/test_daemon_http_parser.cpp
@@ -67,6 +67,18 @@
     }
 }
 
+Test(http_request_parser, holds_nothing_between_requests)
+{
+    io::http_request_parser parser{{1'000, 1'000}};
+    cr_assert_eq(parser.held_bytes(), 0);
+    const std::string text = start_line + "Content-Length: 500\r\n\r\n" + std::string(500, 'x');
+    std::string_view rest{text};
+    cr_assert(parser.consume(rest) == parse_outcome::complete);
+    cr_assert_geq(parser.held_bytes(), 500);
+    (void)parser.take();
+    cr_assert_eq(parser.held_bytes(), 0);
+}
+
 Test(http_request_parser, head_is_limited_as_a_whole)
 {
     std::string fields;
