Fields that later versions append to a row are read in one pass

Cause: each field that was added to progress, calls and answers got a struct of its own, tried one after the other; a job or call without an organisation was decoded twice and encoded again to compare sizes, for each row at a takeover and each forwarded call. Change: encode and decode take the appended fields; a text may end before any of them, nowhere else, as before. The bytes are the same. Lease rows keep their formats of earlier versions, which differ by more than appended fields.

--- a/src/central/store/codec.cpp
+++ b/src/central/store/codec.cpp
@@ -80,39 +80,16 @@
     archive(c.kind, c.queue, c.manifest_version, c.job, c.submitted, c.forwarded_by);
 }
 
-/// A call of an organisation. Processes of earlier versions read the call and ignore the rest.
-struct call_with_organisation {
-    job_call call;
-};
-
-template <typename Archive>
-void serialize(Archive& archive, call_with_organisation& c)
-{
-    archive(c.call, c.call.organisation);
-}
-
 template <typename Archive>
 void serialize(Archive& archive, organisation& o)
 {
     archive(o.name, o.weight, o.quota);
 }
 
-/// Processes that do not know `held` read what precedes it and ignore the rest.
 template <typename Archive>
 void serialize(Archive& archive, call_answer& a)
 {
-    archive(a.result, a.state, a.pending, a.retry_after, a.held);
-}
-
-/// An answer as it was written before `held` was added.
-struct answer_without_held {
-    call_answer answer;
-};
-
-template <typename Archive>
-void serialize(Archive& archive, answer_without_held& a)
-{
-    archive(a.answer.result, a.answer.state, a.answer.pending, a.answer.retry_after);
+    archive(a.result, a.state, a.pending, a.retry_after);
 }
 
 template <typename Archive>
@@ -224,17 +201,6 @@
     archive(j.spec, j.queue_settings, j.submitted_at);
 }
 
-/// A job of an organisation. Processes of earlier versions read the job and ignore the rest.
-struct job_with_owner {
-    stored_job job;
-};
-
-template <typename Archive>
-void serialize(Archive& archive, job_with_owner& j)
-{
-    archive(j.job, j.job.owner);
-}
-
 /// The current run is not stored: runners report it.
 template <typename Archive>
 void serialize(Archive& archive, task_record& t)
@@ -273,78 +239,42 @@
     archive(p.runner, p.tasks);
 }
 
-/// Processes of earlier versions read what they know and ignore the rest of the row.
 template <typename Archive>
 void serialize(Archive& archive, stored_progress& p)
 {
-    archive(p.state, p.occurrences, p.crashes, p.places, p.survivors, p.incarnations);
-}
-
-/// Progress as it was written before `incarnations` was added.
-struct progress_without_incarnations {
-    stored_progress progress;
-};
-
-template <typename Archive>
-void serialize(Archive& archive, progress_without_incarnations& p)
-{
-    archive(p.progress.state, p.progress.occurrences, p.progress.crashes, p.progress.places,
-            p.progress.survivors);
-}
-
-/// Progress as it was written before `survivors` was added.
-struct progress_without_survivors {
-    stored_progress progress;
-};
-
-template <typename Archive>
-void serialize(Archive& archive, progress_without_survivors& p)
-{
-    archive(p.progress.state, p.progress.occurrences, p.progress.crashes, p.progress.places);
-}
-
-/// Progress as it was written before `places` was added.
-struct progress_without_places {
-    stored_progress progress;
-};
-
-template <typename Archive>
-void serialize(Archive& archive, progress_without_places& p)
-{
-    archive(p.progress.state, p.progress.occurrences, p.progress.crashes);
-}
-
-/// Progress as it was written before `crashes` was added.
-struct progress_without_crashes {
-    stored_progress progress;
-};
-
-template <typename Archive>
-void serialize(Archive& archive, progress_without_crashes& p)
-{
-    archive(p.progress.state, p.progress.occurrences);
+    archive(p.state, p.occurrences);
 }
 
 namespace {
 
-template <typename T>
-std::string encode(const T& value)
+/// \param appended the value's fields that later versions have added, in that order. Processes of
+/// earlier versions read what precedes them and ignore the rest.
+template <typename T, typename... Fields>
+std::string encode(const T& value, const Fields&... appended)
 {
     std::ostringstream out;
     cereal::PortableBinaryOutputArchive archive{out};
-    archive(value);
+    archive(value, appended...);
     return std::move(out).str();
 }
 
 /// Converts the exceptions that cereal throws on truncated or malformed input into an error.
-template <typename T>
-absl::StatusOr<T> decode(const std::string& text, const char* what)
+/// \param appended as for `encode`; those behind the end of the text keep their defaults, as a
+/// process of an earlier version has written it.
+template <typename T, typename... Fields>
+absl::StatusOr<T> decode(const std::string& text, const char* what, Fields T::*... appended)
 {
     try {
         std::istringstream in{text};
         cereal::PortableBinaryInputArchive archive{in};
         T value;
         archive(value);
+        [[maybe_unused]] const auto read_unless_at_end = [&](auto& field) {
+            if (in.peek() != std::istringstream::traits_type::eof()) {
+                archive(field);
+            }
+        };
+        (read_unless_at_end(value.*appended), ...);
         return value;
     }
     catch (const std::exception& e) {
@@ -476,18 +406,9 @@
     }
 }
 
-/// Decodes progress that was written before some parts were added.
-template <typename EarlierProgress>
-absl::StatusOr<stored_progress> decode_earlier_progress(const std::string& text)
+std::string encode_with_appended(const stored_progress& p)
 {
-    auto earlier = decode<EarlierProgress>(text, "job progress");
-    if (!earlier.ok()) {
-        return earlier.status();
-    }
-    if (encode(*earlier).size() != text.size()) {
-        return absl::InvalidArgumentError("job progress of an unknown version");
-    }
-    return std::move(earlier->progress);
+    return encode(p, p.crashes, p.places, p.survivors, p.incarnations);
 }
 
 } // namespace
@@ -538,18 +459,12 @@
 
 std::string encode_job(const stored_job& job)
 {
-    return job.owner.name.empty() ? encode(job) : encode(job_with_owner{job});
+    return job.owner.name.empty() ? encode(job) : encode(job, job.owner);
 }
 
 absl::StatusOr<stored_job> decode_stored_job(const std::string& text)
 {
-    auto job = decode<stored_job>(text, "job");
-    if (auto owned = decode<job_with_owner>(text, "job"); owned.ok()) {
-        job = std::move(owned->job);
-    }
-    else if (job.ok() && encode(*job).size() != text.size()) {
-        return owned.status();
-    }
+    auto job = decode(text, "job", &stored_job::owner);
     if (job.ok()) {
         if (auto fault = check_job(job->spec); !fault.ok()) {
             return fault;
@@ -602,11 +517,11 @@
         progress.occurrences = job.occurrences;
         add_crashes_and_places(progress, job.occurrences);
     }
-    std::string text = encode(progress);
+    std::string text = encode_with_appended(progress);
     // Only then, as processes of earlier versions do not know that a finished step has no tasks.
     if (text.size() > config::max_row_bytes) {
         drop_finished_tasks(progress.occurrences);
-        text = encode(progress);
+        text = encode_with_appended(progress);
     }
     return text;
 }
@@ -633,22 +548,11 @@
 
 absl::StatusOr<stored_progress> decode_progress(const std::string& text)
 {
-    auto progress = decode<stored_progress>(text, "job progress");
+    auto progress =
+        decode(text, "job progress", &stored_progress::crashes, &stored_progress::places,
+               &stored_progress::survivors, &stored_progress::incarnations);
     if (!progress.ok()) {
-        auto earlier = decode_earlier_progress<progress_without_incarnations>(text);
-        if (!earlier.ok()) {
-            earlier = decode_earlier_progress<progress_without_survivors>(text);
-        }
-        if (!earlier.ok()) {
-            earlier = decode_earlier_progress<progress_without_places>(text);
-        }
-        if (!earlier.ok()) {
-            earlier = decode_earlier_progress<progress_without_crashes>(text);
-        }
-        if (!earlier.ok()) {
-            return progress;
-        }
-        progress = std::move(earlier);
+        return progress;
     }
     if (!is_job_state(progress->state)) {
         return absl::InvalidArgumentError("job progress: unknown state");
@@ -659,21 +563,15 @@
 
 std::string encode_call(const job_call& call)
 {
-    return call.organisation.empty() ? encode(call) : encode(call_with_organisation{call});
+    return call.organisation.empty() ? encode(call) : encode(call, call.organisation);
 }
 
 absl::StatusOr<job_call> decode_call(const std::string& text)
 {
-    auto call = decode<job_call>(text, "peer call");
+    auto call = decode(text, "peer call", &job_call::organisation);
     if (!call.ok()) {
         return call;
     }
-    if (auto owned = decode<call_with_organisation>(text, "peer call"); owned.ok()) {
-        call = std::move(owned->call);
-    }
-    else if (encode(*call).size() != text.size()) {
-        return owned.status();
-    }
     const bool is_submission = call->kind == call_kind::submit;
     if (call->kind > call_kind::count_pending || is_submission != call->submitted.has_value()) {
         return absl::InvalidArgumentError("peer call: kind and content do not match");
@@ -688,18 +586,14 @@
 
 std::string encode_answer(const call_answer& answer)
 {
-    return encode(answer);
+    return encode(answer, answer.held);
 }
 
 absl::StatusOr<call_answer> decode_answer(const std::string& text)
 {
-    auto answer = decode<call_answer>(text, "peer answer");
+    auto answer = decode(text, "peer answer", &call_answer::held);
     if (!answer.ok()) {
-        const auto earlier = decode<answer_without_held>(text, "peer answer");
-        if (!earlier.ok() || encode(*earlier).size() != text.size()) {
-            return answer;
-        }
-        answer = earlier->answer;
+        return answer;
     }
     if (answer->result > call_result::unauthenticated || !is_job_state(answer->state)) {
         return absl::InvalidArgumentError("peer answer: unknown result or state");
