One search for the runner that is expected to have room first

Cause: look-ahead had a copy of what reservations of services do: sort by what is missing, estimate the nearest, take the earliest. It had its own dominant share, too. Change: first_expected_room and dominant_share serve both. The choice is the same, also among equals.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -208,7 +208,7 @@
 // Look-ahead.
 /// Share of a runner's capacity, in percent, from which room is kept for a task: smaller ones find
 /// gaps soon.
-inline constexpr std::int64_t large_task_percent{20};
+inline constexpr double large_task_percent{20};
 /// Most runners on which room is kept at a time, and most steps for which a runner is looked for in
 /// one round.
 inline constexpr std::size_t max_reservations{32};
--- a/src/central/placement/lookahead.cpp
+++ b/src/central/placement/lookahead.cpp
@@ -19,6 +19,7 @@
 #include "central/placement/run_times.h"
 #include "central/placement/runner_selector.h"
 #include "central/runs/run_parts.h"
+#include "dominant_share.h"
 
 namespace cuminmoor::central {
 
@@ -26,17 +27,6 @@
 
 constexpr std::int64_t percent{100};
 
-/// \return the largest share of the capacity that the size takes, in percent.
-std::int64_t dominant_percent(const resources& size, const resources& capacity)
-{
-    const auto share = [](std::int64_t part, std::int64_t whole) {
-        return whole > 0 ? part * percent / whole : 0;
-    };
-    return std::max({share(size.milli_cores, capacity.milli_cores),
-                     share(size.memory_mib, capacity.memory_mib),
-                     share(size.accelerators, capacity.accelerators)});
-}
-
 bool is_of_step(const graph_task_id& id, const ready_key& step)
 {
     return std::tie(id.job, id.occurrence, id.step) ==
@@ -64,37 +54,12 @@
     return !ref.step->uses_leftover && !ref.step->is_gang && !is_returning_service(ref);
 }
 
-/// A runner and when it is expected to have the room.
-struct expected_room {
-    runner_record* runner{nullptr};
-    instant at;
-};
-
 /// \return true if room may be kept there for the task, whatever runs there now.
 bool may_keep_room(const runner_record& r, const graph_task_id& id, const task_ref& ref)
 {
     const resources& size = ref.step->task_size;
     return !r.reservation && size.fits(r.entry.capacity) && meets_constraints(r, id, ref) &&
-           dominant_percent(size, r.entry.capacity) >= config::large_task_percent;
-}
-
-/// \return the runners that lack the least room for the task, at most `max_estimated_runners`.
-std::vector<std::pair<double, runner_record*>>
-nearest_runners(const context& c, const std::vector<runner_record*>& runners,
-                const graph_task_id& id, const task_ref& ref)
-{
-    std::vector<std::pair<double, runner_record*>> found;
-    c.s.scheduler.runners_scored += runners.size();
-    for (runner_record* const r : runners) {
-        if (may_keep_room(*r, id, ref)) {
-            found.emplace_back(missing_share(*r, ref.step->task_size + r->kept_for_services), r);
-        }
-    }
-    const std::size_t count = std::min(found.size(), config::max_estimated_runners);
-    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(count),
-                      found.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-    found.resize(count);
-    return found;
+           dominant_share(size, r.entry.capacity) * percent >= config::large_task_percent;
 }
 
 /// \return the runner that is expected to have room for the task first; null if none has it within
@@ -102,14 +67,15 @@
 expected_room first_room(const context& c, const std::vector<runner_record*>& runners,
                          const graph_task_id& id, const task_ref& ref)
 {
-    expected_room best{nullptr, c.now + config::max_reservation_wait};
-    for (const auto& [missing, r] : nearest_runners(c, runners, id, ref)) {
-        const auto at = expected_room_at(c, *r, ref.step->task_size + r->kept_for_services);
-        if (at && *at < best.at) {
-            best = {r, *at};
+    std::vector<room_candidate> candidates;
+    c.s.scheduler.runners_scored += runners.size();
+    for (runner_record* const r : runners) {
+        if (may_keep_room(*r, id, ref)) {
+            candidates.push_back({r, ref.step->task_size + r->kept_for_services});
         }
     }
-    return best;
+    const expected_room first = first_expected_room(c, candidates);
+    return first.at < c.now + config::max_reservation_wait ? first : expected_room{};
 }
 
 /// Gives up the least urgent reservation if it is for a less urgent step.
@@ -209,9 +175,12 @@
 resources room_kept_from(const context& c, const runner_record& r, const graph_task_id& id,
                          const task_ref& ref)
 {
+    if (!r.reservation) {
+        return {};
+    }
     // A task with a run there has its room already.
     const bool has_room = ref.task->current_run && ref.task->current_run->runner == r.entry.id;
-    if (!r.reservation || has_room || is_of_step(id, r.reservation->step) ||
+    if (has_room || is_of_step(id, r.reservation->step) ||
         is_more_urgent(id, ref, r.reservation->step)) {
         return {};
     }
@@ -309,12 +278,9 @@
 {
     const resources& capacity = r.entry.capacity;
     const resources free = free_room(r);
-    const auto share = [](std::int64_t part, std::int64_t whole) {
-        return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
-    };
-    const double cores = share(size.milli_cores, capacity.milli_cores);
-    const double memory = share(size.memory_mib, capacity.memory_mib);
-    const double accelerators = share(size.accelerators, capacity.accelerators);
+    const double cores = ratio(size.milli_cores, capacity.milli_cores);
+    const double memory = ratio(size.memory_mib, capacity.memory_mib);
+    const double accelerators = ratio(size.accelerators, capacity.accelerators);
     if (accelerators > std::max(cores, memory)) {
         return size.accelerators - free.accelerators;
     }
--- a/src/central/placement/reservations.cpp
+++ b/src/central/placement/reservations.cpp
@@ -27,12 +27,12 @@
     return found == kept.end() ? ref.step->task_size : found->second + ref.step->task_size;
 }
 
-/// \return the runners that lack the least room for the service, at most `max_estimated_runners`.
-std::vector<runner_record*> most_free_runners(const context& c, const kept_rooms& kept,
-                                              const std::vector<runner_record*>& runners,
-                                              const graph_task_id& id, const task_ref& ref)
+/// \return the runners that could take the service, whatever runs there but services.
+std::vector<room_candidate> candidates_for(const context& c, const kept_rooms& kept,
+                                           const std::vector<runner_record*>& runners,
+                                           const graph_task_id& id, const task_ref& ref)
 {
-    std::vector<std::pair<double, runner_record*>> found;
+    std::vector<room_candidate> found;
     c.s.scheduler.runners_scored += runners.size();
     for (runner_record* const r : runners) {
         const resources wanted = wanted_room(kept, *r, ref);
@@ -40,17 +40,10 @@
             meets_constraints(*r, id, ref) && wanted.fits(r->entry.capacity) &&
             r->service_milli_cores + wanted.milli_cores <= r->entry.capacity.milli_cores;
         if (may_hold) {
-            found.emplace_back(missing_share(*r, wanted), r);
+            found.push_back({r, wanted});
         }
     }
-    const std::size_t count = std::min(found.size(), config::max_estimated_runners);
-    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(count),
-                      found.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-    std::vector<runner_record*> most_free;
-    for (std::size_t i{0}; i < count; ++i) {
-        most_free.push_back(found[i].second);
-    }
-    return most_free;
+    return found;
 }
 
 /// Chooses the runner that is expected to have room for the service first; there may be none.
@@ -59,16 +52,9 @@
                    const task_ref& ref)
 {
     waiting_service& waiting = c.s.scheduler.waiting_services.at(id);
-    waiting.kept_on = {};
-    for (const runner_record* const r : most_free_runners(c, kept, runners, id, ref)) {
-        const auto at = expected_room_at(c, *r, wanted_room(kept, *r, ref));
-        const bool is_better =
-            at && (waiting.kept_on.value.empty() || *at < waiting.expected_room_at);
-        if (is_better) {
-            waiting.kept_on = r->entry.id;
-            waiting.expected_room_at = *at;
-        }
-    }
+    const expected_room first = first_expected_room(c, candidates_for(c, kept, runners, id, ref));
+    waiting.kept_on = first.runner == nullptr ? runner_id{} : first.runner->entry.id;
+    waiting.expected_room_at = first.at;
 }
 
 /// \return true if the choice made before still holds.
--- a/src/central/placement/room_estimates.cpp
+++ b/src/central/placement/room_estimates.cpp
@@ -3,6 +3,7 @@
 #include "central/placement/room_estimates.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 #include "central/placement/run_times.h"
@@ -96,4 +97,26 @@
     return wanted.fits(free) ? std::optional{at} : std::nullopt;
 }
 
+expected_room first_expected_room(const context& c, const std::vector<room_candidate>& candidates)
+{
+    std::vector<std::pair<double, const room_candidate*>> nearest;
+    nearest.reserve(candidates.size());
+    for (const room_candidate& each : candidates) {
+        nearest.emplace_back(missing_share(*each.runner, each.wanted), &each);
+    }
+    const std::size_t count = std::min(nearest.size(), config::max_estimated_runners);
+    std::partial_sort(nearest.begin(), nearest.begin() + static_cast<std::ptrdiff_t>(count),
+                      nearest.end(),
+                      [](const auto& a, const auto& b) { return a.first < b.first; });
+    nearest.resize(count);
+    expected_room first;
+    for (const auto& [missing, each] : nearest) {
+        const auto at = expected_room_at(c, *each->runner, each->wanted);
+        if (at && (first.runner == nullptr || *at < first.at)) {
+            first = {each->runner, *at};
+        }
+    }
+    return first;
+}
+
 } // namespace cuminmoor::central
--- a/src/central/placement/room_estimates.h
+++ b/src/central/placement/room_estimates.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <optional>
+#include <vector>
 
 #include "central/context.h"
 #include "central/jobs/jobs.h"
@@ -19,4 +20,20 @@
 std::optional<instant> expected_room_at(const context& c, const runner_record& r,
                                         const resources& wanted);
 
+/// A runner that could take a task, and the room that must come free there.
+struct room_candidate {
+    runner_record* runner{nullptr};
+    resources wanted;
+};
+
+/// A runner and when it is expected to have the room; null: none.
+struct expected_room {
+    runner_record* runner{nullptr};
+    instant at;
+};
+
+/// \return of the `max_estimated_runners` that lack the least, the one that is expected to have the
+/// room first.
+expected_room first_expected_room(const context& c, const std::vector<room_candidate>& candidates);
+
 } // namespace cuminmoor::central
--- a/src/dominant_share.h
+++ b/src/dominant_share.h
@@ -4,20 +4,24 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 
 #include "cuminmoor/units.h"
 
 namespace cuminmoor {
 
+/// \return the part's share of the whole; 0 if there is none of it.
+inline double ratio(std::int64_t part, std::int64_t whole)
+{
+    return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
+}
+
 /// \return the largest share of the total that is used in any dimension.
 inline double dominant_share(const resources& used, const resources& total)
 {
-    const auto share = [](std::int64_t part, std::int64_t whole) {
-        return whole > 0 ? static_cast<double>(part) / static_cast<double>(whole) : 0;
-    };
-    return std::max({share(used.milli_cores, total.milli_cores),
-                     share(used.memory_mib, total.memory_mib),
-                     share(used.accelerators, total.accelerators)});
+    return std::max({ratio(used.milli_cores, total.milli_cores),
+                     ratio(used.memory_mib, total.memory_mib),
+                     ratio(used.accelerators, total.accelerators)});
 }
 
 /// \return true if no dimension exceeds the quota; 0 in the quota is no limit.
