One copy for waits of organisations, chains of steps, and the connection that gives way

Cause: quota and shares each found an owner's use and limited a log line in a copy of their own; urgency and the objective each walked the graph of steps; the server and its group each closed the first connection; a setting with a least value had a second reader, which reported an error twice. Change: find_use, count_wait, times_to_end over given run times, close_first, number with a least value. Without organisations a round looks no owner up.

--- a/daemon/central_metrics.cpp
+++ b/daemon/central_metrics.cpp
@@ -78,8 +78,8 @@
         write("quota_mib", use.settings.quota.memory_mib);
         write("quota_accelerators", use.settings.quota.accelerators);
         write("weight", use.settings.weight);
-        write("quota_waits_total", use.quota_waits);
-        write("share_waits_total", use.share_waits);
+        write("quota_waits_total", use.quota.waits);
+        write("share_waits_total", use.share.waits);
     }
 }
 
--- a/daemon/loop_http_connection.cpp
+++ b/daemon/loop_http_connection.cpp
@@ -55,21 +55,26 @@
 bool connection_group::make_room(connection_number kept)
 {
     while (budget.is_overspent(at)) {
-        const auto next = budget.first_to_close(at, clock.now());
-        if (!next || *next == kept) {
+        if (!close_first(kept)) {
             return false;
         }
         budget.count_refusal(client_limit::memory);
-        const auto found = connections.find(*next);
-        if (found == connections.end()) {
-            return false;
-        }
-        const auto closed = found->second;
-        closed->give_way();
     }
     return true;
 }
 
+bool connection_group::close_first(std::optional<connection_number> kept)
+{
+    const auto first = budget.first_to_close(at, clock.now());
+    const auto found = first && first != kept ? connections.find(*first) : connections.end();
+    if (found == connections.end()) {
+        return false;
+    }
+    const auto closed = found->second;
+    closed->give_way();
+    return true;
+}
+
 loop_http_connection::loop_http_connection(asio::ip::tcp::socket socket, connection_group& group,
                                            connection_number number)
     : socket_{std::move(socket)}, group_{group}, number_{number}, parser_{{max_head_bytes,
--- a/daemon/loop_http_connection.h
+++ b/daemon/loop_http_connection.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,6 +38,9 @@
     /// `kept` would be next or none is left.
     /// \return whether the share is kept.
     bool make_room(connection_number kept);
+    /// Closes the connection that gives way first.
+    /// \return false when there is none, or it is `kept`.
+    bool close_first(std::optional<connection_number> kept = std::nullopt);
 };
 
 /// Reads requests, at most `max_pipelined_requests` ahead of their answers, and writes the answers
--- a/daemon/loop_http_server.cpp
+++ b/daemon/loop_http_server.cpp
@@ -106,7 +106,7 @@
                 break;
             }
             if (failed && failed != asio::error::connection_aborted) {
-                make_place();
+                group_.close_first();
                 retry_later();
                 return;
             }
@@ -125,25 +125,11 @@
         retry_timer_.async_wait(if_running([this] { wait_for_connections(); }));
     }
 
-    /// Closes the connection that gives way first.
-    /// \return false when there is none.
-    bool make_place()
-    {
-        const auto first = group_.budget.first_to_close(group_.at, clock_.now());
-        const auto found = first ? group_.connections.find(*first) : group_.connections.end();
-        if (found == group_.connections.end()) {
-            return false;
-        }
-        const auto closed = found->second;
-        closed->give_way();
-        return true;
-    }
-
     void add(tcp::socket socket)
     {
         if (!group_.budget.has_place(group_.at)) {
             group_.budget.count_refusal(client_limit::connections);
-            if (!make_place()) {
+            if (!group_.close_first()) {
                 return;
             }
         }
--- a/daemon/settings.cpp
+++ b/daemon/settings.cpp
@@ -31,6 +31,7 @@
 constexpr double max_core_share{1'024};
 constexpr std::int64_t min_memory_mb{32};
 constexpr std::int64_t min_descriptors{256};
+/// Of memory in MiB, and of descriptors.
 constexpr std::int64_t max_size{1'048'576};
 constexpr std::size_t bytes_per_mb{1'048'576};
 constexpr double max_link_mbit{1'000'000};
@@ -163,29 +164,18 @@
         return static_cast<std::size_t>(number(s, max_traffic_threads));
     }
 
-    /// \return a number from 1 to `limit`.
-    std::int64_t number(const setting& s, std::int64_t limit)
+    /// \return a number from `least` to `limit`.
+    std::int64_t number(const setting& s, std::int64_t limit, std::int64_t least = 1)
     {
         std::int64_t count{0};
         const std::string text = value(s);
-        if (!absl::SimpleAtoi(text, &count) || count <= 0 || count > limit) {
-            add_error(std::string{"--"} + s.name + ": \"" + text + "\" must be 1 to " +
-                      std::to_string(limit));
+        if (!absl::SimpleAtoi(text, &count) || count < least || count > limit) {
+            add_error(std::string{"--"} + s.name + ": \"" + text + "\" must be " +
+                      std::to_string(least) + " to " + std::to_string(limit));
         }
         return count;
     }
 
-    /// \return a number from `least` to `max_size`.
-    std::size_t size(const setting& s, std::int64_t least)
-    {
-        const std::int64_t count = number(s, max_size);
-        if (count > 0 && count < least) {
-            add_error(std::string{"--"} + s.name + ": \"" + value(s) + "\" must be at least " +
-                      std::to_string(least));
-        }
-        return static_cast<std::size_t>(std::max(count, least));
-    }
-
     /// \return a number above 0 and at most `limit`, in thousandths.
     std::int64_t thousandths(const setting& s, double limit)
     {
@@ -274,8 +264,10 @@
     s.options.run_time_correction = reader.flag(correction);
     s.options.lookahead = reader.flag(lookahead);
     s.options.service_headroom = reader.flag(headroom);
-    s.memory_bytes = reader.size(memory, min_memory_mb) * bytes_per_mb;
-    s.max_descriptors = reader.size(descriptors, min_descriptors);
+    s.memory_bytes =
+        static_cast<std::size_t>(reader.number(memory, max_size, min_memory_mb)) * bytes_per_mb;
+    s.max_descriptors =
+        static_cast<std::size_t>(reader.number(descriptors, max_size, min_descriptors));
     if (!reader.errors().empty()) {
         return absl::InvalidArgumentError(reader.errors());
     }
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -283,6 +283,12 @@
     std::size_t operator()(const job_id& id) const { return std::hash<std::string>{}(id.value); }
 };
 
+/// Waits for one reason since the lease was won, and when one was logged last.
+struct wait_count {
+    std::uint64_t waits{0};
+    std::optional<instant> logged_at;
+};
+
 /// What an organisation with jobs may have running, and what it has; see quota.cpp.
 struct organisation_use {
     /// From the newest known manifest; if that does not list it any more, from the last that did or
@@ -292,12 +298,10 @@
     resources running;
     /// Upper bound of what its runs of earlier terms reserve that no runner has reported.
     resources unreported;
-    /// Starts that had to wait for the quota since the lease was won, and when one was logged last.
-    std::uint64_t quota_waits{0};
-    std::optional<instant> wait_logged_at;
-    /// The same for steps that had to wait as it had its share running.
-    std::uint64_t share_waits{0};
-    std::optional<instant> share_logged_at;
+    /// For the quota.
+    wait_count quota;
+    /// Of steps, as it had its share running.
+    wait_count share;
 };
 
 struct organisation_hash {
--- a/src/central/jobs/jobs.cpp
+++ b/src/central/jobs/jobs.cpp
@@ -14,17 +14,12 @@
 /// \return the sum of the estimated run times along the longest chain of dependent steps.
 millis critical_path_length(const graph_job& job)
 {
-    std::vector<millis> finish_time(job.steps.size());
-    millis longest;
-    for (std::size_t i{0}; i < job.steps.size(); ++i) {
-        millis earliest_start;
-        for (const std::uint32_t earlier : job.steps[i].after) {
-            earliest_start = std::max(earliest_start, finish_time[earlier]);
-        }
-        finish_time[i] = earliest_start + job.steps[i].run_time;
-        longest = std::max(longest, finish_time[i]);
+    std::vector<millis> run_times;
+    for (const graph_step& step : job.steps) {
+        run_times.push_back(step.run_time);
     }
-    return longest;
+    const std::vector<millis> chains = times_to_end(job, run_times);
+    return chains.empty() ? millis{} : *std::max_element(chains.begin(), chains.end());
 }
 
 millis objective(const graph_job& job, const queue& queue_settings)
@@ -323,6 +318,20 @@
 
 } // namespace
 
+std::vector<millis> times_to_end(const graph_job& job, const std::vector<millis>& run_times)
+{
+    std::vector<millis> times(job.steps.size());
+    std::vector<millis> of_dependents(job.steps.size());
+    // Dependent steps have higher numbers.
+    for (std::size_t i{job.steps.size()}; i-- > 0;) {
+        times[i] = run_times[i] + of_dependents[i];
+        for (const std::uint32_t earlier : job.steps[i].after) {
+            of_dependents[earlier] = std::max(of_dependents[earlier], times[i]);
+        }
+    }
+    return times;
+}
+
 ready_key ready_key_of(const job_record& job, const graph_task_id& id)
 {
     return {job.queue_settings.priority, job.deadline, id.job, id.occurrence, id.step};
--- a/src/central/jobs/jobs.h
+++ b/src/central/jobs/jobs.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "central/context.h"
 
@@ -30,6 +31,9 @@
 };
 task_ref find_task(central_state& s, const graph_task_id& id);
 
+/// \return the time from the start of each step's tasks to the end of the longest chain of steps
+/// that begins with it. \param run_times of each step's tasks.
+std::vector<millis> times_to_end(const graph_job& job, const std::vector<millis>& run_times);
 /// \return the record of a new job, with its deadline and its occurrences, none of them started.
 job_record make_job(const graph_job& spec, const queue& queue_settings, instant submitted_at);
 /// Starts every occurrence that is due and schedules the others.
--- a/src/central/organisations/quota.cpp
+++ b/src/central/organisations/quota.cpp
@@ -13,16 +13,6 @@
 
 namespace {
 
-organisation_use* find_use(const context& c, const job_record& job)
-{
-    if (job.owner.name.empty()) {
-        return nullptr;
-    }
-    auto& organisations = c.s.scheduler.organisations;
-    const auto found = organisations.find(job.owner.name);
-    return found == organisations.end() ? nullptr : &found->second;
-}
-
 resources times(const resources& size, std::size_t tasks)
 {
     const auto count = static_cast<std::int64_t>(tasks);
@@ -32,11 +22,9 @@
 /// Logs the first wait of an organisation, and then one at most in each period.
 void note_wait(const context& c, organisation_use& use, const task_ref& ref)
 {
-    ++use.quota_waits;
-    if (use.wait_logged_at && c.now - *use.wait_logged_at < config::organisation_wait_log_period) {
+    if (!count_wait(c, use.quota)) {
         return;
     }
-    use.wait_logged_at = c.now;
     c.log("quota_reached", {{"organisation", use.settings.name.value},
                             {"job", ref.job->spec.id.value},
                             {"running_milli_cores", absl::StrCat(use.running.milli_cores)},
@@ -44,7 +32,7 @@
                             {"running_mib", absl::StrCat(use.running.memory_mib)},
                             {"quota_mib", absl::StrCat(use.settings.quota.memory_mib)},
                             {"unreported_milli_cores", absl::StrCat(use.unreported.milli_cores)},
-                            {"waits", absl::StrCat(use.quota_waits)}});
+                            {"waits", absl::StrCat(use.quota.waits)}});
 }
 
 /// Adds what may run of a recovered job unreported: any task that is not done, also of steps that
@@ -66,6 +54,26 @@
 
 } // namespace
 
+organisation_use* find_use(const context& c, const job_record& job)
+{
+    if (job.owner.name.empty()) {
+        return nullptr;
+    }
+    auto& organisations = c.s.scheduler.organisations;
+    const auto found = organisations.find(job.owner.name);
+    return found == organisations.end() ? nullptr : &found->second;
+}
+
+bool count_wait(const context& c, wait_count& count)
+{
+    ++count.waits;
+    if (count.logged_at && c.now - *count.logged_at < config::organisation_wait_log_period) {
+        return false;
+    }
+    count.logged_at = c.now;
+    return true;
+}
+
 organisation owner_of(const context& c, const organisation_id& name)
 {
     const organisation* const found = find_organisation(c.s.operators.newest, name);
--- a/src/central/organisations/quota.h
+++ b/src/central/organisations/quota.h
@@ -21,6 +21,11 @@
 
 /// Counts a run that the task has got.
 void add_to_use(const context& c, const task_ref& ref);
+/// \return what the job's owner has running; null if it has no owner.
+organisation_use* find_use(const context& c, const job_record& job);
+/// Counts a wait.
+/// \return true if it is to be logged: the first, and one at most in each period.
+bool count_wait(const context& c, wait_count& count);
 /// Ends the count of a run that has certainly ended.
 void remove_from_use(const context& c, const task_ref& ref);
 
--- a/src/central/organisations/shares.cpp
+++ b/src/central/organisations/shares.cpp
@@ -2,7 +2,10 @@
 /// Shares of the room among organisations.
 #include "central/organisations/shares.h"
 
+#include <unordered_set>
+
 #include "absl/strings/str_cat.h"
+#include "central/organisations/quota.h"
 #include "dominant_share.h"
 
 namespace cuminmoor::central {
@@ -12,18 +15,15 @@
 /// Logs that an organisation's steps wait for the others', one line at most in each period.
 void note_postponed(const context& c, organisation_use& use, const ready_key& key, double share)
 {
-    ++use.share_waits;
-    if (use.share_logged_at &&
-        c.now - *use.share_logged_at < config::organisation_wait_log_period) {
+    if (!count_wait(c, use.share)) {
         return;
     }
-    use.share_logged_at = c.now;
     c.log("share_reached", {{"organisation", use.settings.name.value},
                             {"job", key.job.value},
                             {"weight", absl::StrCat(use.settings.weight)},
                             {"running_milli_cores", absl::StrCat(use.running.milli_cores)},
                             {"share", absl::StrCat(share)},
-                            {"waits", absl::StrCat(use.share_waits)}});
+                            {"waits", absl::StrCat(use.share.waits)}});
 }
 
 } // namespace
@@ -39,20 +39,19 @@
 
 organisation_use* step_turns::owner_of_step(const ready_key& key) const
 {
-    const auto job = c_.s.scheduler.jobs.find(key.job);
-    if (job == c_.s.scheduler.jobs.end() || job->second.owner.name.empty()) {
+    scheduler_state& s = c_.s.scheduler;
+    if (s.organisations.empty()) {
         return nullptr;
     }
-    auto& organisations = c_.s.scheduler.organisations;
-    const auto found = organisations.find(job->second.owner.name);
-    return found == organisations.end() ? nullptr : &found->second;
+    const auto job = s.jobs.find(key.job);
+    return job == s.jobs.end() ? nullptr : find_use(c_, job->second);
 }
 
 void step_turns::count_weights()
 {
-    std::unordered_map<const organisation_use*, bool> counted;
+    std::unordered_set<const organisation_use*> counted;
     const auto count = [&](const organisation_use& use) {
-        if (counted.emplace(&use, true).second) {
+        if (counted.insert(&use).second) {
             active_weight_ += use.settings.weight;
         }
     };
--- a/src/central/placement/urgency.cpp
+++ b/src/central/placement/urgency.cpp
@@ -43,21 +43,16 @@
 
 } // namespace
 
-std::vector<millis> times_to_end(central_state& s, job_record& job)
+std::vector<millis> times_to_end(const central_state& s, job_record& job)
 {
     const auto& steps = job.spec.steps;
-    std::vector<millis> times(steps.size());
-    std::vector<millis> of_dependents(steps.size());
-    // Dependent steps have higher numbers.
-    for (std::size_t i{steps.size()}; i-- > 0;) {
+    std::vector<millis> run_times(steps.size());
+    for (std::size_t i{0}; i < steps.size(); ++i) {
         task_ref ref{.job = &job, .step = &steps[i]};
         ref.image = i < job.images.size() ? job.images[i] : 0;
-        times[i] = expected_run_time(s, ref) + of_dependents[i];
-        for (const std::uint32_t earlier : steps[i].after) {
-            of_dependents[earlier] = std::max(of_dependents[earlier], times[i]);
-        }
+        run_times[i] = expected_run_time(s, ref);
     }
-    return times;
+    return times_to_end(job.spec, run_times);
 }
 
 attainable attainable_for(const job_record& job, instant now, millis time_to_end)
--- a/src/central/placement/urgency.h
+++ b/src/central/placement/urgency.h
@@ -24,7 +24,7 @@
 };
 
 /// \return the expected time from the start of each step's tasks to the end of the job.
-std::vector<millis> times_to_end(central_state& s, job_record& job);
+std::vector<millis> times_to_end(const central_state& s, job_record& job);
 /// \param time_to_end if the step's tasks start now and run at full speed.
 attainable attainable_for(const job_record& job, instant now, millis time_to_end);
 /// \param key a step with ready tasks.
