--- a/src/central/placement/run_times.cpp
+++ b/src/central/placement/run_times.cpp
@@ -80,7 +80,8 @@
     }
     const auto known = s.scheduler.run_times.find(key_of(ref));
     const double of_key = known == s.scheduler.run_times.end() ? 1 : mean_ratio(known->second, 1);
-    const double ratio = mean_ratio(ref.progress->seen, of_key);
+    // A step that has not begun has no record.
+    const double ratio = ref.progress == nullptr ? of_key : mean_ratio(ref.progress->seen, of_key);
     const auto corrected = static_cast<std::int64_t>(static_cast<double>(estimate.count) * ratio);
     return std::max(millis{1}, millis{corrected});
 }
--- a/src/central/placement/run_times.h
+++ b/src/central/placement/run_times.h
@@ -12,6 +12,7 @@
 void record_run_time(const context& c, const task_ref& ref);
 /// \return the expected time of a whole run at full speed on a sound runner, at least 1 ms: its
 /// owner's estimate, corrected by the ends of like tasks where the deployment asks for that.
+/// \param ref its task, occurrence and progress may be null.
 millis expected_run_time(const central_state& s, const task_ref& ref);
 
 } // namespace cuminmoor::central
--- a/tests/test_central_urgency.cpp
+++ b/tests/test_central_urgency.cpp
@@ -90,6 +90,17 @@
     cr_assert(times_to_end(f.s, job) == expected);
 }
 
+/// Steps that have not begun have no record of their runs.
+Test(central_urgency, corrected_run_times_count_for_steps_that_have_not_begun)
+{
+    waiting_fixture f;
+    f.s.self.options.run_time_correction = true;
+    const graph_job spec = central_world::make_job("a", 2, 1, {100});
+    job_record job = make_job(spec, {}, f.now);
+    const std::vector<millis> expected{{200}, {100}};
+    cr_assert(times_to_end(f.s, job) == expected);
+}
+
 Test(central_urgency, attainable_ends_with_the_objective_and_with_its_late_bound)
 {
     queue q;
