--- /dev/null
+++ b/review/cases-3/cases.h
@@ -0,0 +1,21 @@
+/// \file
+/// The cases of this review; each says in its claim.txt what it shows.
+#pragma once
+
+#include <string>
+
+#include "deployment.h"
+
+namespace review {
+
+/// What a case is given.
+struct case_run {
+    recorder& record;
+    std::string log_folder;
+    /// False: the same without the disruption.
+    bool trouble{true};
+};
+
+verdict play_foreign_address(const case_run& run);
+
+} // namespace review
