--- a/review/cases-3/cases.h
+++ b/review/cases-3/cases.h
@@ -17,5 +17,6 @@
 };
 
 verdict play_foreign_address(const case_run& run);
+verdict play_stray_entries(const case_run& run);
 
 } // namespace review
--- a/review/cases-3/main.cpp
+++ b/review/cases-3/main.cpp
@@ -11,7 +11,7 @@
 {
     using namespace review;
     const std::map<std::string, verdict (*)(const case_run&)> cases{
-        {"foreign_address", play_foreign_address}};
+        {"foreign_address", play_foreign_address}, {"stray_entries", play_stray_entries}};
     constexpr int argument_count{4};
     const auto found = argc == argument_count ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
