--- a/review/cases-3/main.cpp
+++ b/review/cases-3/main.cpp
@@ -11,7 +11,9 @@
 {
     using namespace review;
     const std::map<std::string, verdict (*)(const case_run&)> cases{
-        {"foreign_address", play_foreign_address}, {"stray_entries", play_stray_entries}};
+        {"foreign_address", play_foreign_address},
+        {"stray_entries", play_stray_entries},
+        {"wide_jobs", play_wide_jobs}};
     constexpr int argument_count{4};
     const auto found = argc == argument_count ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
