--- a/review/cases-3/main.cpp
+++ b/review/cases-3/main.cpp
@@ -14,7 +14,8 @@
         {"foreign_address", play_foreign_address},
         {"stray_entries", play_stray_entries},
         {"wide_jobs", play_wide_jobs},
-        {"many_images", play_many_images}};
+        {"many_images", play_many_images},
+        {"unlimited_request", play_unlimited_request}};
     constexpr int argument_count{4};
     const auto found = argc == argument_count ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
