--- a/review/cases-3/case_many_images.cpp
+++ b/review/cases-3/case_many_images.cpp
@@ -64,9 +64,11 @@
     // `finish_s` after the end of the traffic.
     constexpr std::int64_t finish_ms{14'000};
     pause_ms(finish_ms);
+    constexpr std::int64_t query_gap_ms{100};
     std::size_t unanswered{0};
     std::size_t unfinished{0};
     for (const std::string& id : accepted) {
+        pause_ms(query_gap_ms);
         constexpr int attempts{3};
         const http_response answer = d.call("GET", quotes, id, "", attempts);
         unanswered += answer.status != http_ok ? 1 : 0;
--- a/review/cases-3/case_wide_jobs.cpp
+++ b/review/cases-3/case_wide_jobs.cpp
@@ -44,8 +44,10 @@
     }
     constexpr std::int64_t finish_ms{14'000};
     pause_ms(finish_ms);
+    constexpr std::int64_t query_gap_ms{100};
     std::size_t unanswered{0};
     for (const std::string& id : accepted) {
+        pause_ms(query_gap_ms);
         unanswered += d.call("GET", quotes, id, "", 3).status != http_ok ? 1 : 0;
         constexpr std::size_t enough{5};
         if (unanswered == enough) {
