--- a/daemon/url.cpp
+++ b/daemon/url.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Percent-encoding of paths.
+/// Percent-encoding of parts of a request's target.
 #include "url.h"
 
 #include <charconv>
--- a/daemon/url.h
+++ b/daemon/url.h
@@ -1,5 +1,5 @@
 /// \file
-/// Percent-encoding of paths.
+/// Percent-encoding of parts of a request's target.
 #pragma once
 
 #include <optional>
@@ -8,7 +8,7 @@
 
 namespace cuminmoor::io {
 
-/// Escapes everything but unreserved characters and slashes.
+/// Escapes everything but unreserved characters and slashes, for a path or a field of a query.
 std::string escape_path(std::string_view text);
 
 /// \return nothing when a percent sign is not followed by two hexadecimal digits.
