Pages of a table skip no key and begin at a text that is a key

Cause: the next page began at the last key with '!' appended: greater than a key that goes on with a space, and longer than a key may be. Now a space is appended, and a key of full length is read again and its row replaced.

Tests no_key_between_two_pages_is_skipped and a_page_may_end_with_a_key_of_full_length failed before, for a new holder and for a feed.

--- a/include/cuminmoor/central/page_size.h
+++ b/include/cuminmoor/central/page_size.h
@@ -33,8 +33,12 @@
     double rows_per_ms_{0};
 };
 
-/// \return the start of the page after `key`. It is greater than `key` and less than or equal to
-/// every longer key that starts with it, because keys contain no spaces.
-std::string first_key_after(const std::string& key);
+/// Most bytes of a key in the store.
+inline constexpr std::size_t max_key_bytes{200};
+
+/// \return the start of the page after one that ends with the key `last`. It is the least text of
+/// printable characters after `last`; after a key of full length, which no key begins with, it is
+/// that key, whose row is then read again.
+std::string next_page_start(const std::string& last);
 
 } // namespace cuminmoor::central
--- a/src/central/lease/loading.cpp
+++ b/src/central/lease/loading.cpp
@@ -307,7 +307,7 @@
     scan->is_complete = !e.has_more || e.rows.empty();
     if (!scan->is_complete) {
         page.on_page_received(e.rows.size(), c.now - scan->requested_at);
-        scan->next_key = first_key_after(e.rows.back().key);
+        scan->next_key = next_page_start(e.rows.back().key);
     }
     check_loading(c);
 }
--- a/src/central/lease/page_size.cpp
+++ b/src/central/lease/page_size.cpp
@@ -26,10 +26,11 @@
     rows_ = std::max(rows_ / config::page_shrink_divisor, config::min_page_rows);
 }
 
-std::string first_key_after(const std::string& key)
+std::string next_page_start(const std::string& last)
 {
-    constexpr char lowest{'!'};
-    return key + lowest;
+    static_assert(config::min_page_rows > 1, "a page that repeats a row must have a further one");
+    constexpr char lowest_printable{' '};
+    return last.size() < max_key_bytes ? last + lowest_printable : last;
 }
 
 } // namespace cuminmoor::central
--- a/tests/test_central_loading.cpp
+++ b/tests/test_central_loading.cpp
@@ -143,10 +143,10 @@
 Test(central_loading, next_page_starts_at_the_next_key)
 {
     const std::string last{"evacuate/accra"};
-    const std::string next = first_key_after(last);
+    const std::string next = next_page_start(last);
     cr_assert_lt(last, next);
     for (const char* const longer_key :
-         {"evacuate/accra-east", "evacuate/accra.2", "evacuate/accra0"}) {
+         {"evacuate/accra east", "evacuate/accra-east", "evacuate/accra.2", "evacuate/accra0"}) {
         cr_assert_leq(next, std::string{longer_key});
     }
 }
--- a/tests/test_platform_paging.cpp
+++ b/tests/test_platform_paging.cpp
@@ -28,9 +28,6 @@
 
 namespace {
 
-/// Most bytes of a key that the store takes.
-constexpr std::size_t max_key_bytes{200};
-
 reaction refused()
 {
     return {"HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\n{}"};
@@ -95,7 +92,7 @@
     {
         const auto from = fields.find("from");
         const std::string first = from == fields.end() ? "" : from->second;
-        if (first.size() > max_key_bytes) {
+        if (first.size() > central::max_key_bytes) {
             return refused();
         }
         nlohmann::json rows = nlohmann::json::array();
@@ -132,7 +129,7 @@
         is_loaded_ = page->ok && !page->has_more;
         has_failed_ = !page->ok;
         if (page->ok && page->has_more) {
-            read_from(central::first_key_after(page->rows.back().key));
+            read_from(central::next_page_start(page->rows.back().key));
         }
     }
     central::call_handle next_handle() override { return {1}; }
@@ -228,3 +225,18 @@
         expect_all_read(paged_store{{"i-1", prefix + "1", prefix + "2", prefix + "3", "t-1"}, 1});
     }
 }
+
+/// Guards against skipping a key that begins with the last one of a page, and a space.
+Test(platform_paging, no_key_between_two_pages_is_skipped)
+{
+    expect_all_read(paged_store{{"i", "i 1", "i 2", "i!", "i-1"}, 1});
+}
+
+/// Guards against a page that begins at a text which is too long for a key, so that the store
+/// refuses to read on.
+Test(platform_paging, a_page_may_end_with_a_key_of_full_length)
+{
+    const std::string longest(central::max_key_bytes, 'k');
+    const std::string prefix(central::max_key_bytes - 1, 'k');
+    expect_all_read(paged_store{{"i", prefix, longest, prefix + "l", "l"}, 2});
+}
