--- a/daemon/asio_http_client.cpp
+++ b/daemon/asio_http_client.cpp
@@ -335,12 +335,13 @@
         pending->call = std::move(call);
         pending->done = std::move(done);
         const call_number number = pending->number;
-        if (clock_.now() >= pending->call.deadline) {
-            asio::post(context_, [late = std::shared_ptr<pending_call>(std::move(pending))] {
-                late->result.outcome = http_outcome::not_sent;
-                late->result.error = "the deadline passed before sending";
-                late->done(std::move(late->result));
-            });
+        if (const char* const reason = reason_not_to_send(pending->call); reason != nullptr) {
+            asio::post(context_,
+                       [reason, unsent = std::shared_ptr<pending_call>(std::move(pending))] {
+                           unsent->result.outcome = http_outcome::not_sent;
+                           unsent->result.error = reason;
+                           unsent->done(std::move(unsent->result));
+                       });
             return number;
         }
         deadlines_.emplace(pending->call.deadline, number);
@@ -352,6 +353,19 @@
     void drop(call_number call) override { give_up(call, nullptr); }
 
 private:
+    /// \return why a call is not sent at all, or null.
+    [[nodiscard]] const char* reason_not_to_send(const http_call& call) const
+    {
+        if (clock_.now() >= call.deadline) {
+            return "the deadline passed before sending";
+        }
+        const bool is_sendable =
+            is_target(call.target) &&
+            std::all_of(call.headers.begin(), call.headers.end(),
+                        [](const auto& h) { return is_header_value(h.value); });
+        return is_sendable ? nullptr : "target or headers hold characters that cannot be sent";
+    }
+
     static bool is_bound(const http_call& call) { return call.unbound_body != nullptr; }
 
     void dispatch(call_ptr call)
--- a/daemon/http_message.cpp
+++ b/daemon/http_message.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Look-up of headers.
+/// Look-up of headers, and the characters that a request may hold.
 #include "http_message.h"
 
 #include <algorithm>
@@ -20,6 +20,18 @@
                       [](char x, char y) { return lower(x) == lower(y); });
 }
 
+constexpr char delete_character{'\x7f'};
+
+bool is_control(char c)
+{
+    return static_cast<unsigned char>(c) < ' ' || c == delete_character;
+}
+
+bool is_white_space(char c)
+{
+    return c == ' ' || c == '\t';
+}
+
 } // namespace
 
 const std::string* find_header(const std::vector<http_header>& headers, std::string_view name)
@@ -30,4 +42,19 @@
     return found == headers.end() ? nullptr : &found->value;
 }
 
+bool is_header_value(std::string_view text)
+{
+    if (text.empty() || is_white_space(text.front()) || is_white_space(text.back())) {
+        return false;
+    }
+    return std::none_of(text.begin(), text.end(),
+                        [](char c) { return is_control(c) && !is_white_space(c); });
+}
+
+bool is_target(std::string_view text)
+{
+    const auto is_visible = [](char c) { return c > ' ' && c < delete_character; };
+    return !text.empty() && std::all_of(text.begin(), text.end(), is_visible);
+}
+
 } // namespace cuminmoor::io
--- a/daemon/http_message.h
+++ b/daemon/http_message.h
@@ -21,6 +21,13 @@
 /// \return the value of the first header of that name, case ignored; nothing when there is none.
 const std::string* find_header(const std::vector<http_header>& headers, std::string_view name);
 
+/// \return true if a header can carry the text as it is: not empty, without control characters
+/// other than tabs, and without white space at either end.
+bool is_header_value(std::string_view text);
+
+/// \return true if the first line of a request can carry the text as its target.
+bool is_target(std::string_view text);
+
 /// Identifies one connection of a caller for as long as the server runs.
 using connection_number = std::uint64_t;
 
--- /dev/null
+++ b/tests/test_platform_runners.cpp
@@ -0,0 +1,130 @@
+/// \file
+/// Calls to runners, whose ids other writers choose.
+#include <chrono>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include <asio/io_context.hpp>
+
+#include "asio_http_client.h"
+#include "line_log.h"
+#include "raw_http_server.h"
+#include "runners.h"
+#include "settings.h"
+#include "system_clock.h"
+
+using namespace cuminmoor;
+
+namespace {
+
+/// Ids that a header cannot carry as they are.
+const std::vector<std::string> unsendable_ids{"",
+                                              "i-1\r\nX-Other: 1",
+                                              "i-1\r\n\r\nPOST /-/run-stop HTTP/1.1\r\n\r\n",
+                                              "i\n1",
+                                              "i-1\t",
+                                              "i\x01",
+                                              "i\x7f",
+                                              std::string{"i\0", 2},
+                                              " i-1",
+                                              "i-1 "};
+
+/// Sends one hold, and keeps the heads of the requests that arrive.
+class hold_play final : public io::central_event_sink {
+public:
+    explicit hold_play(const std::string& runner)
+    {
+        central::runner_hold hold;
+        hold.runner = {runner};
+        hold.address = server_.address();
+        hold.timeout = {300};
+        client_.execute(hold);
+        const instant give_up = clock_.now() + millis{2'000};
+        while (!result && clock_.now() < give_up) {
+            context_.restart();
+            context_.run_for(std::chrono::milliseconds{1});
+        }
+    }
+
+    void post(central::event e) override
+    {
+        if (const auto* const ended = std::get_if<central::runner_hold_ended>(&e)) {
+            result = ended->result;
+        }
+    }
+    central::call_handle next_handle() override { return {1}; }
+    [[nodiscard]] bool is_ready() const override { return true; }
+    [[nodiscard]] bool may_call(std::string_view /*host*/, std::string_view /*path*/,
+                                const central::credential& /*key*/) const override
+    {
+        return true;
+    }
+    [[nodiscard]] bool is_stopping() const override { return false; }
+
+    [[nodiscard]] std::vector<std::string> heads()
+    {
+        const std::lock_guard lock{mutex_};
+        return heads_;
+    }
+
+    std::optional<central::order_result> result;
+
+private:
+    test::reaction react(const std::string& head)
+    {
+        const std::lock_guard lock{mutex_};
+        heads_.push_back(head);
+        return test::whole(R"j({"clock_ms":1,"born":1,"running":[],"finished":[]})j");
+    }
+
+    std::mutex mutex_;
+    std::vector<std::string> heads_;
+    test::raw_http_server server_{
+        test::responder{[this](const std::string& head) { return react(head); }}};
+    io::system_clock clock_;
+    io::settings settings_;
+    io::line_log log_{clock_, "vm", "fd"};
+    asio::io_context context_{1};
+    std::unique_ptr<io::http_client> http_{io::make_asio_http_client(context_, clock_, 4)};
+    platform::runner_client client_{
+        io::deployment_dependencies{context_, clock_, *http_, *this, log_, settings_}};
+};
+
+} // namespace
+
+/// Guards against an id that ends its header and begins another one, or another request (found
+/// beside review/12).
+Test(platform_runners, nothing_is_sent_under_an_id_that_a_header_cannot_carry)
+{
+    for (const std::string& id : unsendable_ids) {
+        hold_play play{id};
+        cr_expect(play.heads().empty(), "%s", id.c_str());
+        cr_expect(play.result == central::order_result::not_sent, "%s", id.c_str());
+    }
+}
+
+Test(platform_runners, ids_of_other_characters_are_sent_as_they_are)
+{
+    for (const std::string id :
+         {"i-1", "sensor 4", "i\t1", "a&b#c%20+", "\xc3\xa9\xf0\x9f\x90\x9f"}) {
+        hold_play play{id};
+        cr_assert_eq(play.heads().size(), 1, "%s", id.c_str());
+        cr_expect(play.heads()[0].find("X-Expected-Instance: " + id + "\r\n") != std::string::npos,
+                  "%s", play.heads()[0].c_str());
+        cr_expect(play.result == central::order_result::done, "%s", id.c_str());
+    }
+}
+
+Test(platform_runners, an_entry_whose_id_cannot_be_sent_names_no_runner)
+{
+    const std::string body =
+        R"j({"service":"s","address":"127.0.0.1:1","zone":"z","state":"ready","capacity":{}})j";
+    cr_expect(platform::parse_registry_entry("sensor 4", body).ok());
+    for (const std::string& id : unsendable_ids) {
+        cr_expect_not(platform::parse_registry_entry(id, body).ok(), "%s", id.c_str());
+    }
+}
