Log lines hold no control characters

What could be seen: a key or text of others with an escape character, and without a space, went to the log as it is. Only values that were quoted for another reason had their control characters replaced, and the delete character never.

Now any control character has the value quoted and is replaced. One is_control serves log lines, headers and labels of metrics; the check of targets doesn't depend on whether char is signed.

Test control_characters_are_replaced failed before.

--- a/daemon/central_metrics.cpp
+++ b/daemon/central_metrics.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/histogram.hpp>
 
+#include "characters.h"
 #include "cuminmoor/central/names.h"
 
 namespace cuminmoor::io {
@@ -49,7 +50,7 @@
 {
     std::string value;
     for (const char each : text) {
-        if (each != '"' && each != '\\' && static_cast<unsigned char>(each) >= ' ') {
+        if (each != '"' && each != '\\' && !is_control(each)) {
             value += each;
         }
     }
--- a/daemon/http_message.cpp
+++ b/daemon/http_message.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cctype>
 
+#include "characters.h"
+
 namespace cuminmoor::io {
 
 namespace {
@@ -20,13 +22,6 @@
                       [](char x, char y) { return lower(x) == lower(y); });
 }
 
-constexpr char delete_character{'\x7f'};
-
-bool is_control(char c)
-{
-    return static_cast<unsigned char>(c) < ' ' || c == delete_character;
-}
-
 bool is_white_space(char c)
 {
     return c == ' ' || c == '\t';
@@ -53,7 +48,8 @@
 
 bool is_target(std::string_view text)
 {
-    const auto is_visible = [](char c) { return c > ' ' && c < delete_character; };
+    constexpr char last_visible{'~'};
+    const auto is_visible = [](char c) { return c > ' ' && c <= last_visible; };
     return !text.empty() && std::all_of(text.begin(), text.end(), is_visible);
 }
 
--- a/daemon/logging.cpp
+++ b/daemon/logging.cpp
@@ -2,10 +2,13 @@
 /// Formats key=value lines and writes them with glog.
 #include "logging.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <glog/logging.h>
 
+#include "characters.h"
+
 namespace cuminmoor::io {
 
 namespace {
@@ -18,7 +21,8 @@
 
 bool needs_quotes(const std::string& value)
 {
-    return value.empty() || value.find_first_of(" \t\r\n\"=\\") != std::string::npos;
+    return value.empty() || value.find_first_of(" \"=\\") != std::string::npos ||
+           std::any_of(value.begin(), value.end(), is_control);
 }
 
 std::string quote(const std::string& value)
@@ -28,8 +32,7 @@
         if (c == '"' || c == '\\') {
             out += '\\';
         }
-        const bool is_control = static_cast<unsigned char>(c) < ' ';
-        out += is_control ? ' ' : c;
+        out += is_control(c) ? ' ' : c;
     }
     out += '"';
     return out;
--- a/tests/test_daemon_logging.cpp
+++ b/tests/test_daemon_logging.cpp
@@ -29,6 +29,14 @@
     cr_assert_eq(io::format_event("e", {{"a", "x=\"y\"\nz"}}), R"(event=e a="x=\"y\" z")");
 }
 
+/// Guards against text of other writers that a terminal takes for commands.
+Test(logging, control_characters_are_replaced)
+{
+    for (const std::string control : {"\x1b", "\x01", "\x0b", "\x7f"}) {
+        cr_assert_eq(io::format_event("e", {{"a", "x" + control + "y"}}), R"(event=e a="x y")");
+    }
+}
+
 Test(log_limiter, excess_lines_are_suppressed_and_counted)
 {
     io::log_limiter limiter;
