Entries that do not fit a row name no runner

What could be seen (LOST): an entry of another writer with 20,000 empty labels fits the runners' table and exceeds a row of ours, as each label takes 8 bytes more there. The store refuses the transaction for good, whatever jobs are left out of it, and no job is stored any more.

Test an_entry_that_does_not_fit_a_row_names_no_runner failed before.

--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -88,6 +88,9 @@
 inline constexpr std::size_t row_overhead_bytes{128};
 /// The store's limit on the value of a row. Longer values are split.
 inline constexpr std::size_t max_row_bytes{65'536};
+/// Most bytes that the labels of a runner take, each with its length: its row must fit
+/// `max_row_bytes`, as one row that does not is refused with all that is stored beside it.
+inline constexpr std::size_t max_label_bytes{32'768};
 /// A job is refused if its specification, or the progress of one occurrence when it starts, takes
 /// more bytes; further occurrences wait. Below `max_commit_bytes`, as values are sent in base64 and
 /// progress grows by checkpoints and failures.
--- a/tests/test_platform_runners.cpp
+++ b/tests/test_platform_runners.cpp
@@ -11,6 +11,9 @@
 #include <asio/io_context.hpp>
 
 #include "asio_http_client.h"
+#include "central/store/codec.h"
+#include "cuminmoor/central/page_size.h"
+#include "cuminmoor/json_reader.h"
 #include "line_log.h"
 #include "raw_http_server.h"
 #include "runners.h"
@@ -128,3 +131,39 @@
         cr_expect_not(platform::parse_registry_entry(id, body).ok(), "%s", id.c_str());
     }
 }
+
+namespace {
+
+/// \return the entry of a runner whose texts have the greatest length, with `count` labels.
+std::string longest_entry(std::size_t count, const std::string& label)
+{
+    const std::string name(max_name_bytes, 'n');
+    const nlohmann::json entry = {{"service", name},
+                                  {"address", name},
+                                  {"zone", name},
+                                  {"state", "ready"},
+                                  {"capacity", nlohmann::json::object()},
+                                  {"labels", std::vector<std::string>(count, label)}};
+    return dump_json(entry);
+}
+
+} // namespace
+
+/// Guards against an entry that takes more than a row when it is stored: the transaction with it is
+/// refused for good, and no job is stored any more (found beside review/12).
+Test(platform_runners, an_entry_that_does_not_fit_a_row_names_no_runner)
+{
+    const std::string id(central::max_key_bytes, 'i');
+    for (const std::string& label : {std::string{}, std::string(200, 'l')}) {
+        std::size_t accepted{0};
+        for (std::size_t count{1}; longest_entry(count, label).size() <= 65'536; count += 16) {
+            const auto entry = platform::parse_registry_entry(id, longest_entry(count, label));
+            if (entry.ok()) {
+                accepted = count;
+                cr_assert_leq(central::encode_runner(*entry).size(),
+                              central::config::max_row_bytes);
+            }
+        }
+        cr_expect_gt(accepted, 100);
+    }
+}
