Entries whose service nobody has named are no runners

Cause: each entry that could be parsed was taken for a runner. Now the manifest (a service or a queue) or a job that has not ended must name its service. Other entries are ignored, and read again when a manifest or the loaded jobs name their service. The registry has its own source file now.

--- a/daemon/central_metrics.cpp
+++ b/daemon/central_metrics.cpp
@@ -223,6 +223,7 @@
         << "cuminmoor_manifest_version " << s.operators.newest.version << '\n'
         << "cuminmoor_jobs " << s.scheduler.jobs.size() << '\n'
         << "cuminmoor_runners " << s.scheduler.runners.size() << '\n'
+        << "cuminmoor_ignored_entries " << s.scheduler.ignored_entries.size() << '\n'
         << "cuminmoor_ready_steps " << s.scheduler.ready.size() << '\n'
         << "cuminmoor_placement_rounds_total " << s.scheduler.placement_rounds << '\n'
         << "cuminmoor_runners_weighed_total " << s.scheduler.runners_scored << '\n'
--- a/include/cuminmoor/central/config.h
+++ b/include/cuminmoor/central/config.h
@@ -100,6 +100,7 @@
 inline constexpr millis cleanup_period{1'000};
 
 // Runners.
+inline constexpr std::size_t max_ignored_entries{1'000};
 /// Longest time that a runner keeps a hold open while no run ends.
 inline constexpr millis hold_wait{2'000};
 /// The same for runners that host both services and leftover tasks.
--- a/include/cuminmoor/central/manifest.h
+++ b/include/cuminmoor/central/manifest.h
@@ -58,6 +58,8 @@
     std::map<credential, organisation_id> credentials{};
     /// What the operator should mend in it; it is in force all the same.
     std::vector<std::string> faults{};
+    /// Pools of runners, with or without a queue.
+    std::set<service_id> services{};
 };
 
 /// The operator's current configuration. Manifest versions only increase.
@@ -72,6 +74,9 @@
 /// \return the queue with that name, or null.
 const queue* find_queue(const manifest& m, const queue_id& name);
 
+/// \return true if the manifest lists the service, or has a queue of it.
+bool names_service(const manifest& m, const service_id& name);
+
 /// \return the organisation with that name, or null.
 const organisation* find_organisation(const manifest& m, const organisation_id& name);
 
--- a/include/cuminmoor/central/page_size.h
+++ b/include/cuminmoor/central/page_size.h
@@ -36,9 +36,9 @@
 /// Most bytes of a key in the store.
 inline constexpr std::size_t max_key_bytes{200};
 
-/// \return the start of the page after one that ends with the key `last`. It is the least text after
-/// `last` that may be the id of a runner, which holds no control characters but tabs; after a key
-/// of full length, which no longer key begins with, it is that key, whose row is read again.
+/// \return the start of the page after one that ends with the key `last`. It is the least text
+/// after `last` that may be the id of a runner, which holds no control characters but tabs. After a
+/// key of full length, which no longer key begins with, it is that key, whose row is read again.
 std::string next_page_start(const std::string& last);
 
 } // namespace cuminmoor::central
--- a/include/cuminmoor/central/state.h
+++ b/include/cuminmoor/central/state.h
@@ -787,6 +787,9 @@
     /// When `learned_disturbance` was last added to a commit.
     instant disturbance_stored_at;
     bool register_known{false};
+    /// Entries of the registry that name no runner to use, as nobody has named their service. At
+    /// most `max_ignored_entries` are noted.
+    std::map<runner_id, service_id> ignored_entries;
     /// Recovery after a takeover ends when all runners have answered, or once the predecessors'
     /// leases have expired and the others are given up, see `is_given_up`, but not before those
     /// that answer have listed all their ends. Until then tasks of recovered jobs do not start
--- a/src/central/entry/manifest.cpp
+++ b/src/central/entry/manifest.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// Lookup of queues and organisations.
+/// Lookup of queues, services and organisations.
 #include "cuminmoor/central/manifest.h"
 
 #include <algorithm>
@@ -25,6 +25,13 @@
     return found == m.queues.end() ? nullptr : &*found;
 }
 
+bool names_service(const manifest& m, const service_id& name)
+{
+    return m.services.contains(name) ||
+           std::any_of(m.queues.begin(), m.queues.end(),
+                       [&name](const queue& q) { return q.service == name; });
+}
+
 const organisation* find_organisation(const manifest& m, const organisation_id& name)
 {
     if (!m.organisations) {
--- a/src/central/lease/loading.cpp
+++ b/src/central/lease/loading.cpp
@@ -255,6 +255,7 @@
         resume_job(c, job);
     }
     c.s.lease.current_role = role::scheduler;
+    reread_ignored_entries(c);
     begin_recovery(c);
     s.placement_due = true;
     c.log("jobs_loaded",
--- a/src/central/parts.h
+++ b/src/central/parts.h
@@ -24,6 +24,7 @@
 #include "central/placement/runner_selector.h"
 #include "central/placement/urgency.h"
 #include "central/runs/crashes.h"
+#include "central/runs/registry.h"
 #include "central/runs/restarts.h"
 #include "central/runs/run_orders.h"
 #include "central/runs/run_reports.h"
--- a/src/central/reduce.cpp
+++ b/src/central/reduce.cpp
@@ -38,6 +38,7 @@
         for (auto& [id, r] : c.s.scheduler.runners) {
             r.offer_again();
         }
+        reread_ignored_entries(c);
     }
     if (e.view.out_of_service != known.out_of_service) {
         c.log("failure_domains_out", {{"count", absl::StrCat(e.view.out_of_service.size())}});
--- a/src/central/runs/run_parts.h
+++ b/src/central/runs/run_parts.h
@@ -29,6 +29,9 @@
               const run_stop& stop, const char* outcome);
 /// Ends the repeats of a run's stop order.
 void forget_stop(const context& c, const graph_task_id& id, const run& stopped);
+/// Logs an event of a runner.
+void log_runner(const context& c, const char* name, const runner_record& r,
+                const std::string& detail);
 /// Logs an event of a run.
 void log_run(const context& c, const char* name, const graph_task_id& id, const run& r,
              const char* outcome);
--- a/src/central/runs/runners.cpp
+++ b/src/central/runs/runners.cpp
@@ -1,7 +1,8 @@
 /// \file
-/// Runners: registration, holds (long polls that renew leases and return reports), lease expiry and
-/// the end of recovery after a takeover.
+/// Runners: holds (long polls that renew leases and return reports), lease expiry and the end of
+/// recovery after a takeover.
 #include "central/lease/handover.h"
+#include "central/runs/run_parts.h"
 
 #include <algorithm>
 #include <utility>
@@ -131,17 +132,6 @@
     r.leases_expire_by = earlier_leases_end(c);
 }
 
-void log_runner(const context& c, const char* event, const runner_record& r,
-                const std::string& detail)
-{
-    c.log(event, {{"runner", r.entry.id.value},
-                  {"failure_domain", r.entry.failure_domain.value},
-                  {"listed", r.listed ? "true" : "false"},
-                  {"draining", r.entry.draining ? "true" : "false"},
-                  {"runs", absl::StrCat(r.runs.size())},
-                  {"detail", detail}});
-}
-
 void on_hold_failed(const context& c, runner_record& r, order_result result)
 {
     ++r.holds_failed;
@@ -323,6 +313,17 @@
 
 } // namespace
 
+void log_runner(const context& c, const char* name, const runner_record& r,
+                const std::string& detail)
+{
+    c.log(name, {{"runner", r.entry.id.value},
+                 {"failure_domain", r.entry.failure_domain.value},
+                 {"listed", r.listed ? "true" : "false"},
+                 {"draining", r.entry.draining ? "true" : "false"},
+                 {"runs", absl::StrCat(r.runs.size())},
+                 {"detail", detail}});
+}
+
 bool is_given_up(const runner_record& r)
 {
     return !r.listed || r.failed_hold_sent_at >= r.leases_expire_by;
@@ -354,49 +355,6 @@
     return until;
 }
 
-void on_registry_changed(const context& c, const registry_changed& e)
-{
-    scheduler_state& s = c.s.scheduler;
-    if (c.s.lease.current_role != role::scheduler && c.s.lease.current_role != role::loading) {
-        return;
-    }
-    if (e.is_snapshot) {
-        for (auto& [id, r] : s.runners) {
-            r.listed = false;
-        }
-        s.register_known = true;
-    }
-    for (const runner_entry& entry : e.present) {
-        auto [found, is_new] = s.runners.try_emplace(entry.id);
-        runner_record& r = found->second;
-        const bool was_draining = r.entry.draining;
-        const std::int64_t known_started_at = r.entry.started_at_ms;
-        r.entry = entry;
-        // Only the runner's own reports change its known incarnation.
-        r.entry.started_at_ms =
-            is_new || known_started_at == 0 ? entry.started_at_ms : known_started_at;
-        r.listed = true;
-        r.offer_again();
-        if (is_new) {
-            r.latency_rise_budget = config::initial_latency_rise_budget;
-            s.commits.runners_to_add.push_back(entry.id);
-        }
-        if (entry.draining && !was_draining) {
-            log_runner(c, "runner_draining", r, "");
-            evict_from_draining_runner(c, r);
-        }
-    }
-    for (const runner_id& id : e.removed) {
-        const auto found = s.runners.find(id);
-        if (found != s.runners.end()) {
-            found->second.listed = false;
-            log_runner(c, "runner_unlisted", found->second, "");
-        }
-    }
-    s.placement_due = true;
-    c.wake_by(c.now);
-}
-
 void on_hold_ended(const context& c, const runner_hold_ended& e)
 {
     scheduler_state& s = c.s.scheduler;
--- a/src/central/runs/runners.h
+++ b/src/central/runs/runners.h
@@ -1,5 +1,5 @@
 /// \file
-/// Runners, holds and leases on runs.
+/// Holds of runners and leases on runs.
 #pragma once
 
 #include <optional>
@@ -9,7 +9,6 @@
 
 namespace cuminmoor::central {
 
-void on_registry_changed(const context& c, const registry_changed& e);
 void on_hold_ended(const context& c, const runner_hold_ended& e);
 /// \param unread_reports see `tick`.
 void check_runners(const context& c, const std::set<runner_id>& unread_reports);
--- a/tests/test_platform_wire.cpp
+++ b/tests/test_platform_wire.cpp
@@ -151,11 +151,14 @@
         R"j({"version":7,"routes":[{"name":"r-3hwrr6x","hostname":"nony24.example",)j"
         R"j("path_prefix":"/lohu930/","kind":"non_idempotent","timeout_ms":3000,)j"
         R"j("target_latency_ms":250,"priority":0,"service":"huvo11a","max_attempts":4,)j"
-        R"j("stretch":1.5}],"services":[],"limits":{}})j");
+        R"j("stretch":1.5}],"services":[{"name":"spare"},7,{"name":3}],"limits":{}})j");
     cr_assert(m.ok());
     cr_assert_eq(m->version, 7);
     cr_assert_eq(m->queues[0].slack.count, 250);
     cr_assert_eq(m->queues[0].stretch, 1.5);
+    cr_assert(names_service(*m, {"huvo11a"}));
+    cr_assert(names_service(*m, {"spare"}));
+    cr_assert_not(names_service(*m, {"floor-sensors"}));
     cr_assert_not_null(find_queue(*m, "nony24.example", "/lohu930/5c0e7a21d94b36f8"));
     cr_assert_null(find_queue(*m, "nony24.example", "/other/"));
     cr_assert_null(find_queue(*m, "elsewhere.example", "/lohu930/x"));
