--- a/tests/test_platform_paging.cpp
+++ b/tests/test_platform_paging.cpp
@@ -1,26 +1,19 @@
 /// \file
 /// Tables that are read in several pages, over HTTP, where other writers choose the keys.
 #include <algorithm>
-#include <chrono>
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include <criterion/criterion.h>
 
-#include <asio/io_context.hpp>
-
 #include "absl/strings/str_split.h"
-#include "asio_http_client.h"
 #include "cuminmoor/central/page_size.h"
 #include "cuminmoor/json_reader.h"
-#include "line_log.h"
+#include "platform_io.h"
 #include "raw_http_server.h"
-#include "settings.h"
 #include "store.h"
-#include "system_clock.h"
 #include "url.h"
 
 using namespace cuminmoor;
@@ -111,9 +104,9 @@
 };
 
 /// Reads a table page by page as a new holder of the lease does, and keeps the keys.
-class page_reader final : public io::central_event_sink {
+class page_reader final : public test::event_sink {
 public:
-    explicit page_reader(const paged_store& store) { settings_.platform = store.address(); }
+    explicit page_reader(const paged_store& store) : io_{*this, store.address()} {}
 
     void post(central::event e) override
     {
@@ -132,20 +125,12 @@
             read_from(central::next_page_start(page->rows.back().key));
         }
     }
-    central::call_handle next_handle() override { return {1}; }
-    [[nodiscard]] bool is_ready() const override { return true; }
-    [[nodiscard]] bool may_call(std::string_view /*host*/, std::string_view /*path*/,
-                                const central::credential& /*key*/) const override
-    {
-        return true;
-    }
-    [[nodiscard]] bool is_stopping() const override { return false; }
 
     /// \return the keys that a new holder loads; empty if a read failed.
     std::vector<std::string> load()
     {
         read_from("");
-        run_until([this] { return is_loaded_ || has_failed_; });
+        io_.run_until([this] { return is_loaded_ || has_failed_; });
         return is_loaded_ ? loaded_ : std::vector<std::string>{};
     }
 
@@ -154,7 +139,7 @@
     {
         std::optional<std::vector<std::string>> keys;
         platform::table_feed feed{
-            dependencies_, central::table::runners,
+            io_.dependencies, central::table::runners,
             [&keys](bool /*is_snapshot*/, const std::vector<platform::store_row>& rows) {
                 keys.emplace();
                 for (const auto& row : rows) {
@@ -163,7 +148,7 @@
             },
             [](bool /*reachable*/) {}};
         feed.start();
-        run_until([&keys] { return keys.has_value(); });
+        io_.run_until([&keys] { return keys.has_value(); });
         feed.stop();
         return keys.value_or(std::vector<std::string>{});
     }
@@ -175,23 +160,8 @@
         store_.execute(central::rows_read{central::table::used_runners, key, limit, {1'000}});
     }
 
-    template <typename Condition>
-    void run_until(Condition is_met)
-    {
-        const instant give_up = clock_.now() + millis{5'000};
-        while (!is_met() && clock_.now() < give_up) {
-            context_.restart();
-            context_.run_for(std::chrono::milliseconds{1});
-        }
-    }
-
-    io::system_clock clock_;
-    io::settings settings_;
-    io::line_log log_{clock_, "vm", "fd"};
-    asio::io_context context_{1};
-    std::unique_ptr<io::http_client> client_{io::make_asio_http_client(context_, clock_, 4)};
-    io::deployment_dependencies dependencies_{context_, clock_, *client_, *this, log_, settings_};
-    platform::store_client store_{dependencies_};
+    test::platform_io io_;
+    platform::store_client store_{io_.dependencies};
     std::vector<std::string> loaded_;
     bool is_loaded_{false};
     bool has_failed_{false};
--- a/tests/test_platform_runners.cpp
+++ b/tests/test_platform_runners.cpp
@@ -1,6 +1,5 @@
 /// \file
 /// Calls to runners, whose ids other writers choose.
-#include <chrono>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -8,17 +7,12 @@
 
 #include <criterion/criterion.h>
 
-#include <asio/io_context.hpp>
-
-#include "asio_http_client.h"
 #include "central/store/codec.h"
 #include "cuminmoor/central/page_size.h"
 #include "cuminmoor/json_reader.h"
-#include "line_log.h"
+#include "platform_io.h"
 #include "raw_http_server.h"
 #include "runners.h"
-#include "settings.h"
-#include "system_clock.h"
 
 using namespace cuminmoor;
 
@@ -37,7 +31,7 @@
                                               "i-1 "};
 
 /// Sends one hold, and keeps the heads of the requests that arrive.
-class hold_play final : public io::central_event_sink {
+class hold_play final : public test::event_sink {
 public:
     explicit hold_play(const std::string& runner)
     {
@@ -46,11 +40,7 @@
         hold.address = server_.address();
         hold.timeout = {300};
         client_.execute(hold);
-        const instant give_up = clock_.now() + millis{2'000};
-        while (!result && clock_.now() < give_up) {
-            context_.restart();
-            context_.run_for(std::chrono::milliseconds{1});
-        }
+        io_.run_until([this] { return result.has_value(); });
     }
 
     void post(central::event e) override
@@ -59,14 +49,6 @@
             result = ended->result;
         }
     }
-    central::call_handle next_handle() override { return {1}; }
-    [[nodiscard]] bool is_ready() const override { return true; }
-    [[nodiscard]] bool may_call(std::string_view /*host*/, std::string_view /*path*/,
-                                const central::credential& /*key*/) const override
-    {
-        return true;
-    }
-    [[nodiscard]] bool is_stopping() const override { return false; }
 
     [[nodiscard]] std::vector<std::string> heads()
     {
@@ -88,13 +70,8 @@
     std::vector<std::string> heads_;
     test::raw_http_server server_{
         test::responder{[this](const std::string& head) { return react(head); }}};
-    io::system_clock clock_;
-    io::settings settings_;
-    io::line_log log_{clock_, "vm", "fd"};
-    asio::io_context context_{1};
-    std::unique_ptr<io::http_client> http_{io::make_asio_http_client(context_, clock_, 4)};
-    platform::runner_client client_{
-        io::deployment_dependencies{context_, clock_, *http_, *this, log_, settings_}};
+    test::platform_io io_{*this, ""};
+    platform::runner_client client_{io_.dependencies};
 };
 
 } // namespace
--- a/tests/test_platform_store.cpp
+++ b/tests/test_platform_store.cpp
@@ -1,6 +1,5 @@
 /// \file
 /// Change feed of a table when responses of the store fail.
-#include <chrono>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -9,14 +8,9 @@
 
 #include <criterion/criterion.h>
 
-#include <asio/io_context.hpp>
-
-#include "asio_http_client.h"
-#include "line_log.h"
+#include "platform_io.h"
 #include "raw_http_server.h"
-#include "settings.h"
 #include "store.h"
-#include "system_clock.h"
 
 using namespace cuminmoor;
 using test::raw_http_server;
@@ -24,18 +18,6 @@
 
 namespace {
 
-struct null_sink final : io::central_event_sink {
-    void post(central::event /*e*/) override {}
-    central::call_handle next_handle() override { return {1}; }
-    [[nodiscard]] bool is_ready() const override { return true; }
-    [[nodiscard]] bool may_call(std::string_view /*host*/, std::string_view /*path*/,
-                                const central::credential& /*key*/) const override
-    {
-        return true;
-    }
-    [[nodiscard]] bool is_stopping() const override { return false; }
-};
-
 /// A page with one row.
 test::reaction page_with(const std::string& key, bool has_more)
 {
@@ -45,18 +27,14 @@
 }
 
 struct fixture {
-    explicit fixture(const std::string& address) { s.platform = address; }
-
-    io::system_clock clock;
-    io::settings s;
-    io::line_log log{clock, "vm", "fd"};
-    null_sink sink;
-    asio::io_context context{1};
-    std::unique_ptr<io::http_client> client{io::make_asio_http_client(context, clock, 4)};
+    explicit fixture(const std::string& address) : io{sink, address} {}
+
+    test::event_sink sink;
+    test::platform_io io;
     /// Keys of each snapshot that the feed delivered.
     std::vector<std::vector<std::string>> tables;
     platform::table_feed feed{
-        io::deployment_dependencies{context, clock, *client, sink, log, s}, central::table::runners,
+        io.dependencies, central::table::runners,
         [this](bool is_snapshot, const std::vector<platform::store_row>& rows) {
             if (is_snapshot) {
                 auto& keys = tables.emplace_back();
@@ -69,11 +47,7 @@
 
     void run_until_tables(std::size_t count)
     {
-        const instant give_up = clock.now() + millis{2'000};
-        while (tables.size() < count && clock.now() < give_up) {
-            context.restart();
-            context.run_for(std::chrono::milliseconds{10});
-        }
+        io.run_until([&] { return tables.size() >= count; }, {2'000});
         cr_assert_eq(tables.size(), count);
     }
 };
@@ -104,21 +78,13 @@
 
 namespace {
 
-struct commit_sink final : io::central_event_sink {
+struct commit_sink final : test::event_sink {
     void post(central::event e) override
     {
         if (const auto* const committed = std::get_if<central::rows_committed>(&e)) {
             outcome = committed->outcome;
         }
     }
-    central::call_handle next_handle() override { return {1}; }
-    [[nodiscard]] bool is_ready() const override { return true; }
-    [[nodiscard]] bool may_call(std::string_view /*host*/, std::string_view /*path*/,
-                                const central::credential& /*key*/) const override
-    {
-        return true;
-    }
-    [[nodiscard]] bool is_stopping() const override { return false; }
 
     std::optional<store_outcome> outcome;
 };
@@ -127,21 +93,11 @@
 store_outcome outcome_of_status(const std::string& status)
 {
     raw_http_server server{{{"HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\n{}", false}}};
-    io::system_clock clock;
-    io::settings s;
-    s.platform = server.address();
-    io::line_log log{clock, "vm", "fd"};
     commit_sink sink;
-    asio::io_context context{1};
-    const auto client = io::make_asio_http_client(context, clock, 4);
-    platform::store_client store{
-        io::deployment_dependencies{context, clock, *client, sink, log, s}};
+    test::platform_io io{sink, server.address()};
+    platform::store_client store{io.dependencies};
     store.execute(central::rows_commit{});
-    const instant give_up = clock.now() + millis{2'000};
-    while (!sink.outcome && clock.now() < give_up) {
-        context.restart();
-        context.run_for(std::chrono::milliseconds{10});
-    }
+    io.run_until([&sink] { return sink.outcome.has_value(); }, {2'000});
     cr_assert(sink.outcome.has_value());
     return *sink.outcome;
 }
