--- a/tests/test_central_unnamed_services.cpp
+++ b/tests/test_central_unnamed_services.cpp
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 
 #include "central/expectations.h"
+#include "central/store/codec.h"
 
 using namespace cuminmoor;
 using namespace cuminmoor::central;
@@ -55,6 +56,26 @@
     expect_no_violation(w);
 }
 
+/// A holder of an earlier version has stored them as runners.
+Test(central_unnamed_services, their_stored_rows_are_removed)
+{
+    central_world w{{.runners = runners}};
+    register_others(w);
+    for (std::size_t i{runners - others}; i < runners; ++i) {
+        const runner_entry& entry = w.runner(i).entry;
+        w.put_row({table::used_runners, entry.id.value}, encode_runner(entry));
+    }
+    w.run_for(warm_up);
+    cr_expect(knows_others(w));
+    w.run_for({15'000});
+    cr_expect_not(knows_others(w));
+    w.kill(*w.scheduler());
+    w.run_for({6'000});
+    cr_expect_not(knows_others(w));
+    cr_expect_not(w.state_of(*w.scheduler()).scheduler.recovering);
+    expect_no_violation(w);
+}
+
 /// The entries of a service that comes into use are used from then on.
 Test(central_unnamed_services, entries_are_used_once_a_manifest_names_their_service)
 {
